Add consensus core and durable log

Cause: the product needs a replicated log that survives the loss of a minority of the control hosts and any crash during a write.

Conclusion: base for sessions, records and the ledger.

--- /dev/null
+++ b/internal/base/codec/codec.go
@@ -0,0 +1,121 @@
+// Package codec encodes the messages and files of damaskcrank's own formats
+// as CBOR, and frames them with checksums where they go to disk.
+package codec
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("codec")
+
+// Raw is an encoded value that is decoded later.
+type Raw = cbor.RawMessage
+
+const (
+	frameMagic = 0x64637266
+	// HeaderSize is the size in bytes of a frame's header.
+	HeaderSize = 16
+	// MaxFrameSize bounds a frame's payload in bytes.
+	MaxFrameSize = 256 << 20
+)
+
+var (
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+	encMode    = mustEncMode()
+	decMode    = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	options := cbor.DecOptions{
+		MaxArrayElements: 1 << 22,
+		MaxMapPairs:      1 << 22,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal encodes a value; equal values have equal encodings.
+func Marshal(value any) ([]byte, error) {
+	data, err := encMode.Marshal(value)
+	if err != nil {
+		return nil, Error.New("encode %T: %w", value, err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes data into the value that target points to.
+func Unmarshal(data []byte, target any) error {
+	if err := decMode.Unmarshal(data, target); err != nil {
+		return Error.New("decode %T: %w", target, err)
+	}
+	return nil
+}
+
+// Frame returns the payload behind a header of magic, length, the payload's
+// CRC32C and the header's own CRC32C.
+func Frame(payload []byte) []byte {
+	frame := make([]byte, HeaderSize, HeaderSize+len(payload))
+	binary.BigEndian.PutUint32(frame[0:], frameMagic)
+	binary.BigEndian.PutUint32(frame[4:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(frame[8:], crc32.Checksum(payload, castagnoli))
+	binary.BigEndian.PutUint32(frame[12:], crc32.Checksum(frame[:12], castagnoli))
+	return append(frame, payload...)
+}
+
+// NextFrame returns the payload of the frame at the start of data and the
+// frame's whole length. It returns io.EOF where data is empty and an error of
+// this package where the frame is cut or damaged.
+func NextFrame(data []byte) (payload []byte, length int, err error) {
+	if len(data) == 0 {
+		return nil, 0, io.EOF
+	}
+	if len(data) < HeaderSize {
+		return nil, 0, Error.New("frame header is cut after %d bytes", len(data))
+	}
+	headerSum := binary.BigEndian.Uint32(data[12:])
+	if binary.BigEndian.Uint32(data) != frameMagic || headerSum != crc32.Checksum(data[:12], castagnoli) {
+		return nil, 0, Error.New("frame header is damaged")
+	}
+	size := binary.BigEndian.Uint32(data[4:])
+	if size > MaxFrameSize || int(size) > len(data)-HeaderSize {
+		return nil, 0, Error.New("frame of %d bytes is cut after %d", size, len(data)-HeaderSize)
+	}
+	payload = data[HeaderSize : HeaderSize+int(size)]
+	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[8:]) {
+		return nil, 0, Error.New("frame of %d bytes does not match its checksum", size)
+	}
+	return payload, HeaderSize + int(size), nil
+}
+
+// ContainsFrame tells whether a whole, undamaged frame starts anywhere in data.
+func ContainsFrame(data []byte) bool {
+	for start := 0; start+HeaderSize <= len(data); start++ {
+		if binary.BigEndian.Uint32(data[start:]) != frameMagic {
+			continue
+		}
+		if _, _, err := NextFrame(data[start:]); err == nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/raft/raft_test.go
@@ -0,0 +1,348 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const (
+	testElection  = 150 * time.Millisecond
+	testHeartbeat = 40 * time.Millisecond
+)
+
+// disk is what a member has synced.
+type disk struct {
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func (disk *disk) save(output Output) {
+	if output.HardState != nil {
+		disk.hard = *output.HardState
+	}
+	if output.Snapshot != nil {
+		disk.snapshot = *output.Snapshot
+		disk.entries = nil
+	}
+	for _, entry := range output.Entries {
+		keep := entry.Index - disk.snapshot.Index - 1
+		disk.entries = append(disk.entries[:keep:keep], entry)
+	}
+}
+
+// group runs cores over a network that loses, delays and repeats messages.
+type group struct {
+	now       time.Time
+	cores     map[MemberID]*Core
+	disks     map[MemberID]*disk
+	frozen    map[MemberID]bool
+	cut       map[MemberID]bool
+	network   []Envelope
+	committed map[uint64]string
+	leaders   map[uint64]MemberID
+	random    *rand.Rand
+	fail      func(format string, args ...any)
+}
+
+func newGroup(size int, seed uint64, fail func(string, ...any)) *group {
+	group := &group{
+		now:       time.Unix(1000, 0),
+		cores:     map[MemberID]*Core{},
+		disks:     map[MemberID]*disk{},
+		frozen:    map[MemberID]bool{},
+		cut:       map[MemberID]bool{},
+		committed: map[uint64]string{},
+		leaders:   map[uint64]MemberID{},
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		fail:      fail,
+	}
+	members := Members{}
+	for number := range size {
+		address := netip.MustParseAddrPort(fmt.Sprintf("127.0.0.%d:1", number+1))
+		members.Voters = append(members.Voters, Member{ID: memberName(number), Address: address})
+	}
+	for _, member := range members.Voters {
+		group.disks[member.ID] = &disk{snapshot: Snapshot{Index: 1, Term: 1, Members: members}}
+		group.restart(member.ID)
+	}
+	return group
+}
+
+func memberName(number int) MemberID {
+	return MemberID(fmt.Sprintf("m%d", number))
+}
+
+func (group *group) config(id MemberID) Config {
+	return Config{
+		ID: id, ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat, MaxBatch: 3,
+		Random: group.random.Int64N,
+	}
+}
+
+func (group *group) restart(id MemberID) {
+	disk := group.disks[id]
+	entries := append([]Entry(nil), disk.entries...)
+	group.cores[id] = NewCore(group.config(id), disk.hard, disk.snapshot, entries, group.now)
+	group.frozen[id] = false
+}
+
+func (group *group) step(id MemberID, event Event) Output {
+	core := group.cores[id]
+	output := core.Step(event, group.now)
+	group.disks[id].save(output)
+	group.network = append(group.network, output.Messages...)
+	group.check(core, output.Committed)
+	if len(output.Entries) > 0 {
+		group.step(id, Persisted{Index: output.Entries[len(output.Entries)-1].Index})
+	}
+	return output
+}
+
+// check fails on two leaders in a term, two lease holders, or two entries
+// committed at one index.
+func (group *group) check(core *Core, committed []Entry) {
+	if core.Role() == RoleLeader {
+		if other, ok := group.leaders[core.Term()]; ok && other != core.config.ID {
+			group.fail("term %d has leaders %s and %s", core.Term(), other, core.config.ID)
+		}
+		group.leaders[core.Term()] = core.config.ID
+	}
+	holders := 0
+	for _, other := range group.cores {
+		if group.now.Before(other.LeaseEnd()) {
+			holders++
+		}
+	}
+	if holders > 1 {
+		group.fail("%d members hold a leader's lease", holders)
+	}
+	for _, entry := range committed {
+		text := fmt.Sprintf("%d/%s", entry.Term, entry.Data)
+		if before, ok := group.committed[entry.Index]; ok && before != text {
+			group.fail("index %d committed as %q and %q", entry.Index, before, text)
+		}
+		group.committed[entry.Index] = text
+	}
+}
+
+func (group *group) deliver(position int, keep bool) {
+	envelope := group.network[position]
+	if !keep {
+		group.network = append(group.network[:position:position], group.network[position+1:]...)
+	}
+	if group.cut[envelope.From] || group.cut[envelope.To] || group.frozen[envelope.To] || group.cores[envelope.To] == nil {
+		return
+	}
+	group.step(envelope.To, Receive{Envelope: envelope})
+}
+
+// pass lets time go by with a network that works.
+func (group *group) pass(duration time.Duration) {
+	for end := group.now.Add(duration); group.now.Before(end); {
+		group.now = group.now.Add(10 * time.Millisecond)
+		for id := range group.cores {
+			if !group.frozen[id] {
+				group.step(id, Tick{})
+			}
+		}
+		for count := len(group.network); count > 0; count-- {
+			group.deliver(0, false)
+		}
+	}
+}
+
+func (group *group) leader() *Core {
+	for _, core := range group.cores {
+		if core.Role() == RoleLeader && group.now.Before(core.LeaseEnd()) {
+			return core
+		}
+	}
+	return nil
+}
+
+func (group *group) heal() {
+	group.cut = map[MemberID]bool{}
+	for id := range group.cores {
+		group.frozen[id] = false
+	}
+	group.network = nil
+	group.pass(3 * time.Second)
+}
+
+// TestSafetyUnderFaults drives groups through loss, repetition, reordering,
+// freezes, restarts, cuts, compaction and leadership transfer, and then
+// requires that a healed group commits.
+func TestSafetyUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+		group := newGroup(size, rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		for number := range rapid.IntRange(20, 300).Draw(t, "steps") {
+			id := memberName(rapid.IntRange(0, size-1).Draw(t, "member"))
+			switch action := rapid.IntRange(0, 19).Draw(t, "action"); {
+			case action < 5:
+				group.now = group.now.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "milliseconds")) * time.Millisecond)
+				for other := range size {
+					if !group.frozen[memberName(other)] {
+						group.step(memberName(other), Tick{})
+					}
+				}
+			case action < 12 && len(group.network) > 0:
+				for range min(len(group.network), 8) {
+					group.deliver(rapid.IntRange(0, len(group.network)-1).Draw(t, "position"), action == 11)
+				}
+			case action == 12 && len(group.network) > 0:
+				group.network = group.network[:len(group.network)/2]
+			case action == 13:
+				group.frozen[id] = !group.frozen[id]
+			case action == 14:
+				group.restart(id)
+			case action == 15:
+				group.cut[id] = !group.cut[id]
+			case action == 16 && !group.frozen[id]:
+				core := group.cores[id]
+				group.step(id, Compact{Snapshot: Snapshot{Index: core.applied, Term: mustTerm(core), Members: core.Members()}})
+				group.disks[id].compact(core.log.snapshot)
+			case action == 17 && !group.frozen[id]:
+				group.step(id, Transfer{To: memberName(number % size)})
+			case !group.frozen[id]:
+				group.step(id, Propose{Commands: [][]byte{fmt.Appendf(nil, "command %d", number)}})
+			}
+		}
+		group.heal()
+		leader := group.leader()
+		if leader == nil {
+			t.Fatalf("no leader 3 s after the faults ended")
+		}
+		before := leader.CommitIndex()
+		group.step(leader.config.ID, Propose{Commands: [][]byte{[]byte("last")}})
+		group.pass(time.Second)
+		for id, core := range group.cores {
+			if core.CommitIndex() <= before {
+				t.Fatalf("member %s committed %d, leader had %d", id, core.CommitIndex(), before)
+			}
+		}
+	})
+}
+
+func mustTerm(core *Core) uint64 {
+	term, _ := core.log.term(core.applied)
+	return term
+}
+
+func (disk *disk) compact(snapshot Snapshot) {
+	if snapshot.Index <= disk.snapshot.Index {
+		return
+	}
+	disk.entries = append([]Entry(nil), disk.entries[snapshot.Index-disk.snapshot.Index:]...)
+	disk.snapshot = snapshot
+}
+
+func TestFailover(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 7, t.Fatalf)
+	group.pass(time.Second)
+	old := group.leader()
+	is.True(old != nil)
+	group.frozen[old.config.ID] = true
+	start := group.now
+	for group.leader() == nil || group.leader() == old {
+		group.pass(10 * time.Millisecond)
+	}
+	is.True(group.now.Sub(start) <= 3*testElection) // a follower takes over within three timeouts
+	group.frozen[old.config.ID] = false
+	group.pass(time.Second)
+	is.Equal(old.Role(), RoleFollower) // the old leader follows once it wakes
+}
+
+func TestIsolatedLeaderLosesLease(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 8, t.Fatalf)
+	group.pass(time.Second)
+	old := group.leader()
+	group.cut[old.config.ID] = true
+	group.pass(testElection + testHeartbeat)
+	is.True(!group.now.Before(old.LeaseEnd())) // no lease without a quorum
+	group.pass(2 * testElection)
+	is.True(old.Role() != RoleLeader) // check-quorum
+	term := old.Term()
+	group.pass(5 * time.Second)
+	is.Equal(old.Term(), term) // pre-vote: the cut-off member does not raise its term
+}
+
+func TestReplaceMember(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 9, t.Fatalf)
+	group.pass(time.Second)
+	leader := group.leader()
+	lost := memberName(0)
+	if leader.config.ID == lost {
+		lost = memberName(1)
+	}
+	delete(group.cores, lost)
+	newcomer := Member{ID: "m9", Address: netip.MustParseAddrPort("127.0.0.9:1")}
+	group.disks[newcomer.ID] = &disk{}
+	group.restart(newcomer.ID)
+
+	members := leader.Members()
+	members.Learners = append(members.Learners, newcomer)
+	is.NoErr(group.step(leader.config.ID, ProposeMembers{Members: members}).Err)
+	group.pass(time.Second)
+	is.Equal(group.cores[newcomer.ID].CommitIndex(), leader.CommitIndex()) // the learner caught up
+
+	members = leader.Members()
+	members.Learners = nil
+	members.Voters = append(members.Voters, newcomer)
+	is.NoErr(group.step(leader.config.ID, ProposeMembers{Members: members}).Err)
+	is.True(group.step(leader.config.ID, ProposeMembers{Members: leader.Members()}).Err != nil) // one at a time
+	group.pass(time.Second)
+
+	members = leader.Members()
+	voters := members.Voters[:0]
+	for _, member := range members.Voters {
+		if member.ID != lost {
+			voters = append(voters, member)
+		}
+	}
+	members.Voters = voters
+	is.NoErr(group.step(leader.config.ID, ProposeMembers{Members: members}).Err)
+	group.pass(time.Second)
+
+	// A second member is lost right after the repair.
+	for id := range group.cores {
+		if id != newcomer.ID && id != leader.config.ID {
+			delete(group.cores, id)
+		}
+	}
+	output := group.step(leader.config.ID, Propose{Commands: [][]byte{[]byte("after")}})
+	group.pass(time.Second)
+	is.True(leader.CommitIndex() >= output.FirstIndex) // leader and newcomer are a majority
+}
+
+func TestRead(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 10, t.Fatalf)
+	group.pass(time.Second)
+	leader := group.leader()
+	group.step(leader.config.ID, RequestRead{ID: 5})
+	var reads []ReadReady
+	for len(group.network) > 0 {
+		envelope := group.network[0]
+		group.network = group.network[1:]
+		reads = append(reads, group.step(envelope.To, Receive{Envelope: envelope}).Reads...)
+	}
+	is.Equal(len(reads), 1)
+	is.True(reads[0].OK)
+	is.Equal(reads[0].Index, leader.CommitIndex())
+	for id := range group.cores {
+		if id != leader.config.ID {
+			is.Equal(group.step(id, RequestRead{ID: 6}).Reads[0].OK, false) // a follower does not answer
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/store/store.go
@@ -0,0 +1,293 @@
+// Package store keeps a control host's share of the replicated log on disk: a
+// log file of checksummed frames, snapshots, and the identity of the disk.
+package store
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/control/raft"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("store")
+
+const (
+	logName        = "log"
+	snapshotName   = "snapshot"
+	identityName   = "identity"
+	temporarySuffix = ".tmp"
+	folderMode     = 0o700
+	fileMode       = 0o600
+	identityBytes  = 6
+)
+
+// Batch is what one sync makes durable.
+type Batch struct {
+	HardState *raft.HardState
+	Entries   []raft.Entry
+}
+
+// Restored is what a disk holds.
+type Restored struct {
+	// Identity names the disk; a new folder gets a new one.
+	Identity  string
+	HardState raft.HardState
+	// Snapshot has index 0 where the member belongs to no group yet.
+	Snapshot raft.Snapshot
+	Entries  []raft.Entry
+	// TornBytes is the length in bytes of an unfinished write that was cut off.
+	TornBytes int
+}
+
+// Disk is an open data folder. It is not safe for concurrent use.
+type Disk struct {
+	folder string
+	log    *os.File
+	failed error
+}
+
+// Open reads the folder, which it creates if needed, and cuts an unfinished
+// last write off. Damage before the last write is an error that says what to
+// do, since entries that were acknowledged may be lost.
+func Open(folder string) (*Disk, Restored, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, Restored{}, Error.New("create data folder: %w", err)
+	}
+	disk := &Disk{folder: folder}
+	restored, err := disk.restore()
+	if err != nil {
+		return nil, Restored{}, err
+	}
+	return disk, restored, nil
+}
+
+func (disk *Disk) path(name string) string {
+	return filepath.Join(disk.folder, name)
+}
+
+func (disk *Disk) restore() (Restored, error) {
+	identity, err := disk.identity()
+	if err != nil {
+		return Restored{}, err
+	}
+	restored := Restored{Identity: identity}
+	if err := disk.readSnapshot(&restored.Snapshot); err != nil {
+		return Restored{}, err
+	}
+	data, err := os.ReadFile(disk.path(logName))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return Restored{}, Error.New("read log: %w", err)
+	}
+	valid, err := replay(data, &restored)
+	if err != nil {
+		return Restored{}, Error.New("log %s: %w", disk.path(logName), err)
+	}
+	restored.TornBytes = len(data) - valid
+	return restored, disk.openLog(int64(valid))
+}
+
+// identity reads the disk's name, or draws one for a new disk.
+func (disk *Disk) identity() (string, error) {
+	data, err := os.ReadFile(disk.path(identityName))
+	if err == nil {
+		return strings.TrimSpace(string(data)), nil
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return "", Error.New("read identity: %w", err)
+	}
+	random := make([]byte, identityBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", Error.New("draw identity: %w", err)
+	}
+	identity := hex.EncodeToString(random)
+	if err := disk.replace(identityName, []byte(identity+"\n")); err != nil {
+		return "", err
+	}
+	return identity, nil
+}
+
+func (disk *Disk) readSnapshot(snapshot *raft.Snapshot) error {
+	data, err := os.ReadFile(disk.path(snapshotName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return Error.New("read snapshot: %w", err)
+	}
+	payload, _, err := codec.NextFrame(data)
+	if err != nil {
+		return Error.New("snapshot %s is damaged (%w): %s", disk.path(snapshotName), err, replaceAdvice)
+	}
+	if err := codec.Unmarshal(payload, snapshot); err != nil {
+		return Error.New("snapshot %s: %w", disk.path(snapshotName), err)
+	}
+	return nil
+}
+
+// replaceAdvice is what an operator does about a disk that lost entries.
+const replaceAdvice = "move the data folder away and run 'damaskcrank member replace' for this host on another one"
+
+// replay applies the log's frames and returns the length of the valid part.
+func replay(data []byte, restored *Restored) (int, error) {
+	valid := 0
+	for valid < len(data) {
+		payload, length, err := codec.NextFrame(data[valid:])
+		if err != nil {
+			if codec.ContainsFrame(data[valid+1:]) {
+				return 0, Error.New("damaged at byte %d, before its last write (%w): %s", valid, err, replaceAdvice)
+			}
+			return valid, nil
+		}
+		var batch Batch
+		if err := codec.Unmarshal(payload, &batch); err != nil {
+			return 0, Error.New("frame at byte %d: %w", valid, err)
+		}
+		if err := restored.apply(batch); err != nil {
+			return 0, Error.New("frame at byte %d: %w", valid, err)
+		}
+		valid += length
+	}
+	return valid, nil
+}
+
+func (restored *Restored) apply(batch Batch) error {
+	if batch.HardState != nil {
+		restored.HardState = *batch.HardState
+	}
+	for _, entry := range batch.Entries {
+		if entry.Index <= restored.Snapshot.Index {
+			continue
+		}
+		keep := entry.Index - restored.Snapshot.Index - 1
+		if keep > uint64(len(restored.Entries)) {
+			return Error.New("entry %d leaves a gap after %d", entry.Index, restored.Snapshot.Index+uint64(len(restored.Entries)))
+		}
+		restored.Entries = append(restored.Entries[:keep:keep], entry)
+	}
+	return nil
+}
+
+func (disk *Disk) openLog(size int64) error {
+	file, err := os.OpenFile(disk.path(logName), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return Error.New("open log: %w", err)
+	}
+	if err := file.Truncate(size); err != nil {
+		return Error.New("cut log to %d bytes: %w", size, err)
+	}
+	if _, err := file.Seek(size, 0); err != nil {
+		return Error.New("seek log: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return Error.New("sync log: %w", err)
+	}
+	if disk.log != nil {
+		_ = disk.log.Close()
+	}
+	disk.log = file
+	return disk.syncFolder()
+}
+
+// Save appends the batch and syncs it. After an error the disk refuses all
+// further writes: what a failed sync left behind is unknown.
+func (disk *Disk) Save(batch Batch) error {
+	if disk.failed != nil {
+		return disk.failed
+	}
+	payload, err := codec.Marshal(batch)
+	if err != nil {
+		return Error.New("save: %w", err)
+	}
+	if _, err := disk.log.Write(codec.Frame(payload)); err != nil {
+		return disk.fail(Error.New("write log: %w", err))
+	}
+	if err := disk.log.Sync(); err != nil {
+		return disk.fail(Error.New("sync log: %w", err))
+	}
+	return nil
+}
+
+func (disk *Disk) fail(err error) error {
+	disk.failed = err
+	return err
+}
+
+// Compact writes the snapshot, then a log that holds only the hard state and
+// the entries after the snapshot. A crash between the two leaves entries that
+// the snapshot covers, which reading skips.
+func (disk *Disk) Compact(snapshot raft.Snapshot, hard raft.HardState, entries []raft.Entry) error {
+	if disk.failed != nil {
+		return disk.failed
+	}
+	payload, err := codec.Marshal(snapshot)
+	if err != nil {
+		return Error.New("compact: %w", err)
+	}
+	if err := disk.replace(snapshotName, codec.Frame(payload)); err != nil {
+		return disk.fail(err)
+	}
+	payload, err = codec.Marshal(Batch{HardState: &hard, Entries: entries})
+	if err != nil {
+		return Error.New("compact: %w", err)
+	}
+	frame := codec.Frame(payload)
+	if err := disk.replace(logName, frame); err != nil {
+		return disk.fail(err)
+	}
+	if err := disk.openLog(int64(len(frame))); err != nil {
+		return disk.fail(err)
+	}
+	return nil
+}
+
+// replace writes a file so that a crash leaves either the old or the new one.
+func (disk *Disk) replace(name string, data []byte) error {
+	temporary := disk.path(name + temporarySuffix)
+	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return Error.New("create %s: %w", name, err)
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := file.Write(data); err != nil {
+		return Error.New("write %s: %w", name, err)
+	}
+	if err := file.Sync(); err != nil {
+		return Error.New("sync %s: %w", name, err)
+	}
+	if err := os.Rename(temporary, disk.path(name)); err != nil {
+		return Error.New("rename %s: %w", name, err)
+	}
+	return disk.syncFolder()
+}
+
+func (disk *Disk) syncFolder() error {
+	folder, err := os.Open(disk.folder)
+	if err != nil {
+		return Error.New("open data folder: %w", err)
+	}
+	defer func() { _ = folder.Close() }()
+	if err := folder.Sync(); err != nil {
+		return Error.New("sync data folder: %w", err)
+	}
+	return nil
+}
+
+// Close closes the log. Nothing is pending: Save syncs before it returns.
+func (disk *Disk) Close() error {
+	if disk.log == nil {
+		return nil
+	}
+	if err := disk.log.Close(); err != nil {
+		return Error.New("close log: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/store/store_test.go
@@ -0,0 +1,139 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/control/raft"
+)
+
+func entryAt(index, term uint64, data string) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Data: []byte(data)}
+}
+
+// writeLog fills a folder with three synced batches and returns the log's path
+// and its length after each.
+func writeLog(t *testing.T, folder string) (string, []int64) {
+	t.Helper()
+	is := is.New(t)
+	disk, _, err := Open(folder)
+	is.NoErr(err)
+	path := filepath.Join(folder, logName)
+	var sizes []int64
+	for _, batch := range []Batch{
+		{HardState: &raft.HardState{Term: 2, Vote: "a#1"}},
+		{Entries: []raft.Entry{entryAt(1, 1, "one"), entryAt(2, 1, "two")}},
+		{Entries: []raft.Entry{entryAt(2, 2, "two again"), entryAt(3, 2, "three")}},
+	} {
+		is.NoErr(disk.Save(batch))
+		info, err := os.Stat(path)
+		is.NoErr(err)
+		sizes = append(sizes, info.Size())
+	}
+	is.NoErr(disk.Close())
+	return path, sizes
+}
+
+func TestRestore(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	writeLog(t, folder)
+	disk, restored, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(restored.HardState, raft.HardState{Term: 2, Vote: "a#1"})
+	is.Equal(len(restored.Entries), 3)
+	is.Equal(string(restored.Entries[1].Data), "two again") // the later write at an index counts
+
+	snapshot := raft.Snapshot{Index: 2, Term: 2, Data: []byte("state")}
+	is.NoErr(disk.Compact(snapshot, restored.HardState, restored.Entries[2:]))
+	is.NoErr(disk.Save(Batch{Entries: []raft.Entry{entryAt(4, 2, "four")}}))
+	is.NoErr(disk.Close())
+	_, again, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(again.Identity, restored.Identity)
+	is.Equal(string(again.Snapshot.Data), "state")
+	is.Equal(len(again.Entries), 2)
+	is.Equal(again.Entries[1].Index, uint64(4))
+}
+
+// TestTornTail cuts the log at every byte of its last write: all that was
+// synced before stays.
+func TestTornTail(t *testing.T) {
+	is := is.New(t)
+	path, sizes := writeLog(t, t.TempDir())
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for size := sizes[1]; size < sizes[2]; size++ {
+		folder := t.TempDir()
+		is.NoErr(os.WriteFile(filepath.Join(folder, logName), whole[:size], fileMode))
+		disk, restored, err := Open(folder)
+		is.NoErr(err)
+		is.Equal(len(restored.Entries), 2)
+		is.Equal(string(restored.Entries[1].Data), "two")
+		is.Equal(int64(restored.TornBytes), size-sizes[1])
+		is.NoErr(disk.Save(Batch{Entries: []raft.Entry{entryAt(3, 2, "new")}}))
+		is.NoErr(disk.Close())
+		_, again, err := Open(folder)
+		is.NoErr(err)
+		is.Equal(len(again.Entries), 3)
+	}
+}
+
+// TestDamageBeforeTail flips each byte before the last write: the disk refuses
+// to start and says what to do.
+func TestDamageBeforeTail(t *testing.T) {
+	is := is.New(t)
+	path, sizes := writeLog(t, t.TempDir())
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for position := range sizes[1] {
+		folder := t.TempDir()
+		damaged := append([]byte(nil), whole...)
+		damaged[position] ^= 0x40
+		is.NoErr(os.WriteFile(filepath.Join(folder, logName), damaged, fileMode))
+		_, _, err := Open(folder)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "member replace"))
+	}
+}
+
+// TestCrashDuringCompact leaves the old log beside the new snapshot.
+func TestCrashDuringCompact(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	path, _ := writeLog(t, folder)
+	old, err := os.ReadFile(path)
+	is.NoErr(err)
+	disk, restored, err := Open(folder)
+	is.NoErr(err)
+	is.NoErr(disk.Compact(raft.Snapshot{Index: 2, Term: 2}, restored.HardState, restored.Entries[2:]))
+	is.NoErr(disk.Close())
+	is.NoErr(os.WriteFile(path, old, fileMode))
+	_, again, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(again.Snapshot.Index, uint64(2))
+	is.Equal(len(again.Entries), 1)
+	is.Equal(string(again.Entries[0].Data), "three")
+}
+
+func TestNewDiskIsNewIdentity(t *testing.T) {
+	is := is.New(t)
+	_, first, err := Open(t.TempDir())
+	is.NoErr(err)
+	_, second, err := Open(t.TempDir())
+	is.NoErr(err)
+	is.True(first.Identity != second.Identity)
+}
+
+func TestFailedWriteStopsDisk(t *testing.T) {
+	is := is.New(t)
+	disk, _, err := Open(t.TempDir())
+	is.NoErr(err)
+	is.NoErr(disk.log.Close())
+	is.True(disk.Save(Batch{}) != nil)
+	is.True(disk.Compact(raft.Snapshot{Index: 1}, raft.HardState{}, nil) != nil) // nothing is written after a failure
+}
