--- /dev/null
+++ b/internal/control/group/client.go
@@ -0,0 +1,191 @@
+package group
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/peer/trust"
+)
+
+const (
+	// callTimeout bounds one call, so that a silent control host costs little.
+	callTimeout = 1500 * time.Millisecond
+	retryPause  = 20 * time.Millisecond
+	fetchSlack  = 500 * time.Millisecond
+)
+
+// Client lets a host talk to the control group. It is safe for concurrent use.
+type Client struct {
+	wires []*wire
+	mutex sync.Mutex
+	// leader is the position of the wire that last led to the leader.
+	leader int
+	source int
+}
+
+// NewClient returns a client of the control hosts at the addresses.
+func NewClient(addresses []netip.AddrPort, secret trust.Secret) *Client {
+	client := &Client{}
+	for _, address := range addresses {
+		client.wires = append(client.wires, newWire(address, secret))
+	}
+	return client
+}
+
+// Propose commits a command and returns its result. It follows the leader and
+// repeats the command until the context ends: commands bear being repeated.
+func (client *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	data, err := state.EncodeCommand(command)
+	if err != nil {
+		return state.Result{}, Error.New("propose: %w", err)
+	}
+	var result state.Result
+	err = client.onLeader(ctx, func(wire *wire) (bool, string, error) {
+		reply := ProposeReply{}
+		if err := wire.call("Control.Propose", ProposeArgs{Command: data}, &reply, callTimeout); err != nil {
+			return false, "", err
+		}
+		result = reply.Result
+		return !reply.NotLeader, reply.Leader, nil
+	})
+	return result, err
+}
+
+// Lagging returns the live hosts that have not applied the index.
+func (client *Client) Lagging(ctx context.Context, index uint64) ([]HostProgress, error) {
+	var hosts []HostProgress
+	err := client.onLeader(ctx, func(wire *wire) (bool, string, error) {
+		reply := LaggingReply{}
+		if err := wire.call("Control.Lagging", LaggingArgs{Index: index}, &reply, callTimeout); err != nil {
+			return false, "", err
+		}
+		hosts = reply.Hosts
+		return !reply.NotLeader, "", nil
+	})
+	return hosts, err
+}
+
+// Change makes one membership change and returns its index.
+func (client *Client) Change(ctx context.Context, args ChangeArgs) (uint64, error) {
+	var index uint64
+	err := client.onLeader(ctx, func(wire *wire) (bool, string, error) {
+		reply := ChangeReply{}
+		if err := wire.call("Control.Change", args, &reply, callTimeout); err != nil {
+			return false, "", err
+		}
+		index = reply.Index
+		return !reply.NotLeader, "", nil
+	})
+	return index, err
+}
+
+// LeaderStatus returns the leader's view of the group.
+func (client *Client) LeaderStatus(ctx context.Context) (Status, error) {
+	var status Status
+	err := client.onLeader(ctx, func(wire *wire) (bool, string, error) {
+		reply := Status{}
+		if err := wire.call("Control.Status", StatusArgs{}, &reply, callTimeout); err != nil {
+			return false, "", err
+		}
+		status = reply
+		return reply.Role == "leader", "", nil
+	})
+	return status, err
+}
+
+// Hello asks the control host at the address which member it is.
+func (client *Client) Hello(address netip.AddrPort) (HelloReply, error) {
+	for _, wire := range client.wires {
+		if wire.address == address {
+			reply := HelloReply{}
+			err := wire.call("Control.Hello", HelloArgs{}, &reply, helloTimeout)
+			return reply, err
+		}
+	}
+	wire := newWire(address, client.wires[0].secret)
+	defer wire.close()
+	reply := HelloReply{}
+	err := wire.call("Control.Hello", HelloArgs{}, &reply, helloTimeout)
+	return reply, err
+}
+
+// onLeader calls the leader until a call succeeds. The call tells whether its
+// host leads and which one it believes does.
+func (client *Client) onLeader(ctx context.Context, call func(*wire) (leads bool, hint string, err error)) error {
+	var last error
+	for attempt := 0; ; attempt++ {
+		position := client.position()
+		leads, hint, err := call(client.wires[position])
+		if err == nil && leads {
+			return nil
+		}
+		if err != nil {
+			last = err
+		}
+		client.moveOn(position, hint)
+		if (attempt+1)%len(client.wires) != 0 && ctx.Err() == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			if last == nil {
+				last = ErrNotLeader
+			}
+			return Error.New("no control leader answered (%w): %w", ctx.Err(), last)
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (client *Client) position() int {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return client.leader
+}
+
+// moveOn tries the hinted leader next, or else the next host.
+func (client *Client) moveOn(position int, hint string) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if client.leader != position {
+		return
+	}
+	client.leader = (position + 1) % len(client.wires)
+	for number, wire := range client.wires {
+		if hint != "" && wire.address.String() == hint && number != position {
+			client.leader = number
+		}
+	}
+}
+
+// Fetch returns what changed in the catalog after an index, from any control
+// host; it turns to the next one after a failure.
+func (client *Client) Fetch(after uint64, wait time.Duration) (FetchReply, error) {
+	client.mutex.Lock()
+	source := client.source
+	client.mutex.Unlock()
+	reply := FetchReply{}
+	args := FetchArgs{After: after, Wait: wait}
+	err := client.wires[source].call("Control.Fetch", args, &reply, wait+fetchSlack)
+	if err != nil || reply.Upto < after {
+		client.NextSource()
+	}
+	return reply, err
+}
+
+// NextSource makes the next fetch go to another control host.
+func (client *Client) NextSource() {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	client.source = (client.source + 1) % len(client.wires)
+}
+
+// Close ends all connections.
+func (client *Client) Close() {
+	for _, wire := range client.wires {
+		wire.close()
+	}
+}
--- /dev/null
+++ b/internal/control/group/server.go
@@ -0,0 +1,249 @@
+package group
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/control/raft"
+)
+
+const (
+	proposeTimeout = 3 * time.Second
+	// maxFetchWait bounds how long a fetch without news is held.
+	maxFetchWait = 2 * time.Second
+	// maxConnections bounds the open control connections.
+	maxConnections = 4096
+)
+
+// server accepts control connections from hosts that know the secret.
+type server struct {
+	node     *Node
+	listener net.Listener
+	rpc      *rpc.Server
+	mutex    sync.Mutex
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+// Control is the net/rpc service of a control host.
+type Control struct{ node *Node }
+
+func listen(node *Node) (*server, error) {
+	listener, err := net.Listen("tcp", node.options.Address.String())
+	if err != nil {
+		return nil, Error.New("listen for control: %w", err)
+	}
+	server := &server{node: node, listener: listener, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	if err := server.rpc.RegisterName("Control", &Control{node: node}); err != nil {
+		return nil, Error.New("register control service: %w", err)
+	}
+	go server.accept()
+	return server, nil
+}
+
+func (server *server) accept() {
+	for {
+		conn, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !server.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go server.serve(conn)
+	}
+}
+
+func (server *server) serve(conn net.Conn) {
+	defer server.forget(conn)
+	if err := server.node.options.Secret.Accept(conn, handshakeTimeout); err != nil {
+		server.node.options.Log.WithError(err).Warn(logPrefix + "a connection was refused")
+		return
+	}
+	server.rpc.ServeConn(conn)
+}
+
+func (server *server) track(conn net.Conn) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.closed || len(server.conns) >= maxConnections {
+		return false
+	}
+	server.conns[conn] = true
+	return true
+}
+
+func (server *server) forget(conn net.Conn) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.conns, conn)
+	_ = conn.Close()
+}
+
+func (server *server) close() {
+	_ = server.listener.Close()
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.closed = true
+	for conn := range server.conns {
+		_ = conn.Close()
+	}
+}
+
+// Deliver takes consensus messages.
+func (control *Control) Deliver(args DeliverArgs, _ *DeliverReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
+	defer cancel()
+	return control.node.ask(ctx, deliverRequest{envelopes: args.Envelopes})
+}
+
+// Propose commits a command if this member leads.
+func (control *Control) Propose(args ProposeArgs, reply *ProposeReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	answer, err := control.node.proposeData(ctx, args.Command)
+	if err != nil {
+		return err
+	}
+	reply.Result = answer.result
+	reply.NotLeader = answer.notLeader
+	reply.Leader = control.node.leaderAddress()
+	return answer.err
+}
+
+// Fetch returns what changed in the catalog after an index.
+func (control *Control) Fetch(args FetchArgs, reply *FetchReply) error {
+	answer, err := control.node.fetch(args)
+	*reply = answer
+	return err
+}
+
+// Status returns the member's view of the group.
+func (control *Control) Status(_ StatusArgs, reply *Status) error {
+	*reply = control.node.Status()
+	return nil
+}
+
+// Hello says which group the member belongs to.
+func (control *Control) Hello(_ HelloArgs, reply *HelloReply) error {
+	*reply = control.node.hello()
+	return nil
+}
+
+// Lagging names the live hosts that have not applied an index.
+func (control *Control) Lagging(args LaggingArgs, reply *LaggingReply) error {
+	*reply = control.node.lagging(args.Index)
+	return nil
+}
+
+// Change makes one membership change.
+func (control *Control) Change(args ChangeArgs, reply *ChangeReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	answer := make(chan changeAnswer, 1)
+	if err := control.node.ask(ctx, changeRequest{args: args, reply: answer}); err != nil {
+		return err
+	}
+	select {
+	case done := <-answer:
+		*reply = done.reply
+		return done.err
+	case <-ctx.Done():
+		return Error.New("membership change: %w", ctx.Err())
+	}
+}
+
+// Transfer hands leadership to another voter.
+func (control *Control) Transfer(_ TransferArgs, reply *TransferReply) error {
+	reply.Started = control.node.HandOver()
+	return nil
+}
+
+// HandOver asks the loop to move leadership to another voter, and tells
+// whether the member led.
+func (node *Node) HandOver() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	reply := make(chan bool, 1)
+	if err := node.ask(ctx, transferRequest{reply: reply}); err != nil {
+		return false
+	}
+	select {
+	case started := <-reply:
+		return started
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (node *Node) fetch(args FetchArgs) (FetchReply, error) {
+	wait := min(args.Wait, maxFetchWait)
+	ctx, cancel := context.WithTimeout(context.Background(), wait+proposeTimeout)
+	defer cancel()
+	reply := make(chan FetchReply, 1)
+	until := node.options.Clock.Now().Add(wait)
+	if err := node.ask(ctx, fetchRequest{after: args.After, until: until, reply: reply}); err != nil {
+		return FetchReply{}, err
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return FetchReply{}, Error.New("fetch: %w", ctx.Err())
+	}
+}
+
+func (node *Node) leaderAddress() string {
+	status := node.Status()
+	for _, member := range status.Members {
+		if member.ID == status.Leader {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// lagging compares what live hosts reported with the index.
+func (node *Node) lagging(index uint64) LaggingReply {
+	if !node.Leads() || node.progress == nil {
+		return LaggingReply{NotLeader: true}
+	}
+	reply := LaggingReply{}
+	sessions := node.Catalog().Sessions
+	known := map[string]HostProgress{}
+	for _, progress := range node.progress.HostProgress() {
+		known[progress.Host] = progress
+	}
+	for name := range sessions {
+		progress, ok := known[name]
+		if !ok || progress.Applied < index {
+			progress.Host = name
+			reply.Hosts = append(reply.Hosts, progress)
+		}
+	}
+	return reply
+}
+
+// change makes a membership change. Adding takes a learner in; promoting
+// waits for it to have the whole log, so that it counts at once.
+func (node *Node) change(message changeRequest, work *turnWork) {
+	members, err := node.changedMembers(message.args)
+	if err != nil {
+		message.reply <- changeAnswer{err: err}
+		return
+	}
+	if node.core.Role() != raft.RoleLeader {
+		message.reply <- changeAnswer{reply: ChangeReply{NotLeader: true}}
+		return
+	}
+	output := node.step(raft.ProposeMembers{Members: members}, work)
+	if output.Err != nil {
+		message.reply <- changeAnswer{err: Error.New("change members: %w", output.Err)}
+		return
+	}
+	message.reply <- changeAnswer{reply: ChangeReply{Index: output.FirstIndex}}
+}
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -338,3 +338,19 @@
 	core.output.Committed = slices.Clone(core.log.slice(core.applied+1, core.commit))
 	core.applied = core.commit
 }
+
+// CommittedMembers returns the latest membership that is committed.
+func (core *Core) CommittedMembers() Members {
+	members := core.history[0].members
+	for _, past := range core.history {
+		if past.index <= core.commit {
+			members = past.members
+		}
+	}
+	return members.Clone()
+}
+
+// EntriesInMemory returns all entries after the last snapshot.
+func (core *Core) EntriesInMemory() []Entry {
+	return slices.Clone(core.log.entries)
+}
--- /dev/null
+++ b/internal/control/spec/spec.go
@@ -0,0 +1,200 @@
+// Package spec holds the operators' records: their kinds, their two schema
+// versions, and the typed specifications that the rest of the system reads.
+package spec
+
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("record")
+
+// Kind is the kind of a record.
+type Kind string
+
+// The kinds of records.
+const (
+	KindService    Kind = "service"
+	KindWorkspace  Kind = "workspace"
+	KindCallerKey  Kind = "callerKey"
+	KindRate       Kind = "rate"
+	KindPolicy     Kind = "policy"
+	KindDataCentre Kind = "dataCentre"
+	KindUpstream   Kind = "upstream"
+)
+
+// Kinds lists all kinds in the order in which a document applies them.
+func Kinds() []Kind {
+	return []Kind{
+		KindWorkspace, KindCallerKey, KindRate, KindPolicy, KindService, KindDataCentre, KindUpstream,
+	}
+}
+
+// Valid tells whether the kind exists.
+func (kind Kind) Valid() bool {
+	for _, known := range Kinds() {
+		if kind == known {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// OldSchema is the schema version with plain numbers.
+	OldSchema = 1
+	// NewSchema is the schema version with durations and nested tables.
+	NewSchema = 2
+)
+
+// ID names a record.
+type ID struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the ID as kind/name.
+func (id ID) String() string { return string(id.Kind) + "/" + id.Name }
+
+// Record is one version of a record, with the body as its writer sent it.
+type Record struct {
+	Kind    Kind   `json:"kind"`
+	Name    string `json:"name"`
+	Schema  int    `json:"schema"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+	// Body is the record's fields as canonical JSON.
+	Body []byte `json:"-"`
+}
+
+// ID returns the record's ID.
+func (record Record) ID() ID { return ID{Kind: record.Kind, Name: record.Name} }
+
+// Same tells whether two records have the same content and version.
+func (record Record) Same(other Record) bool {
+	return record.ID() == other.ID() && record.Schema == other.Schema && record.Version == other.Version &&
+		record.Deleted == other.Deleted && string(record.Body) == string(other.Body)
+}
+
+// Spec is the typed content of a record, the same for both schema versions.
+type Spec interface{ spec() }
+
+// Service is a group of upstreams that answer the same requests.
+type Service struct {
+	Name string
+	// Partitions divides the service's keys; 0 means that any upstream serves
+	// any request.
+	Partitions int
+	// KeyHeader names the request header that holds the resource key.
+	KeyHeader string
+	// Timeout is the longest time a request may take from its arrival.
+	Timeout       time.Duration
+	MaxBodySize   int
+	MaxAnswerSize int
+	// Policies share the service's traffic; none means the default policy.
+	Policies []PolicyShare
+	// ColdRate is the number of requests per second that an upstream in cold
+	// start bears, where its announcement does not say.
+	ColdRate float64
+	// ColdRamp is how long an upstream takes from cold to full load.
+	ColdRamp time.Duration
+	// RetryBudget is the share of requests that may be retried, from 0 to 1.
+	RetryBudget float64
+}
+
+// PolicyShare gives a policy a share of a service's traffic.
+type PolicyShare struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+}
+
+// Workspace is a tenant.
+type Workspace struct {
+	Name string
+	// Weight is the workspace's share in fair queues.
+	Weight float64
+}
+
+// CallerKey is a key that callers of a workspace present.
+type CallerKey struct {
+	Name      string
+	Workspace string
+	// Hash is the SHA-256 of the key's secret, in hexadecimal.
+	Hash string
+}
+
+// Rate limits a workspace over all hosts together.
+type Rate struct {
+	Name      string
+	Workspace string
+	// PerSecond is the number of requests per second.
+	PerSecond float64
+	// Burst is the number of requests that may come at once.
+	Burst float64
+}
+
+// Policy names how requests are routed and admitted.
+type Policy struct {
+	Name      string
+	Routing   string
+	Admission string
+	// HedgeBudget is the share of idempotent requests that may be sent twice.
+	HedgeBudget float64
+}
+
+// DataCentre says whether a data centre takes new work.
+type DataCentre struct {
+	Name      string
+	Region    string
+	InService bool
+}
+
+// Upstream says whether an upstream takes new work. Its name is service/name.
+type Upstream struct {
+	Name      string
+	InService bool
+}
+
+func (Service) spec()    {}
+func (Workspace) spec()  {}
+func (CallerKey) spec()  {}
+func (Rate) spec()       {}
+func (Policy) spec()     {}
+func (DataCentre) spec() {}
+func (Upstream) spec()   {}
+
+// Routing policies.
+const (
+	RoutingRoundRobin       = "roundRobin"
+	RoutingLeastOutstanding = "leastOutstanding"
+	RoutingLatencyTwo       = "latencyTwoChoices"
+	RoutingSticky           = "boundedLoadSticky"
+	RoutingRendezvous       = "rendezvous"
+)
+
+// Admission policies.
+const (
+	AdmissionFIFO        = "fifo"
+	AdmissionFair        = "deficitRoundRobin"
+	AdmissionStrictQuota = "strictQuota"
+)
+
+func validRouting(name string) bool {
+	switch name {
+	case "", RoutingRoundRobin, RoutingLeastOutstanding, RoutingLatencyTwo, RoutingSticky, RoutingRendezvous:
+		return true
+	default:
+		return false
+	}
+}
+
+func validAdmission(name string) bool {
+	switch name {
+	case "", AdmissionFIFO, AdmissionFair, AdmissionStrictQuota:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/control/state/catalog.go
@@ -0,0 +1,328 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"damaskcrank.example/damaskcrank/internal/control/spec"
+)
+
+// historyLimit bounds the changes that a catalog remembers.
+const historyLimit = 1000
+
+// Catalog is the state that every host follows. A catalog never changes: Apply
+// returns a new one that shares what stayed the same, so that readers need no
+// lock. The zero Catalog is empty.
+type Catalog struct {
+	// Index is the log index of the last command applied or skipped.
+	Index      uint64
+	Records    map[spec.ID]spec.Record
+	History    []Change
+	Sessions   map[string]Session
+	Shards     map[ShardID]Shard
+	Upstreams  map[UpstreamID]Upstream
+	Tables     map[string]Table
+	Quarantine map[string]Suspect
+
+	specs specs
+}
+
+// specs are the parsed records by kind.
+type specs struct {
+	services    map[string]spec.Service
+	workspaces  map[string]spec.Workspace
+	callerKeys  map[string]spec.CallerKey
+	rates       map[string]spec.Rate
+	policies    map[string]spec.Policy
+	dataCentres map[string]spec.DataCentre
+	upstreams   map[string]spec.Upstream
+}
+
+// Service returns a service's specification.
+func (catalog *Catalog) Service(name string) (spec.Service, bool) {
+	service, ok := catalog.specs.services[name]
+	return service, ok
+}
+
+// Services returns the names of all services, sorted.
+func (catalog *Catalog) Services() []string {
+	return slices.Sorted(maps.Keys(catalog.specs.services))
+}
+
+// Workspace returns a workspace's specification.
+func (catalog *Catalog) Workspace(name string) (spec.Workspace, bool) {
+	workspace, ok := catalog.specs.workspaces[name]
+	return workspace, ok
+}
+
+// Workspaces returns the names of all workspaces, sorted.
+func (catalog *Catalog) Workspaces() []string {
+	return slices.Sorted(maps.Keys(catalog.specs.workspaces))
+}
+
+// CallerKey returns the specification of a caller key by its name.
+func (catalog *Catalog) CallerKey(name string) (spec.CallerKey, bool) {
+	key, ok := catalog.specs.callerKeys[name]
+	return key, ok
+}
+
+// Rate returns the rate of a workspace.
+func (catalog *Catalog) Rate(workspace string) (spec.Rate, bool) {
+	rate, ok := catalog.specs.rates[workspace]
+	return rate, ok
+}
+
+// Policy returns a policy's specification.
+func (catalog *Catalog) Policy(name string) (spec.Policy, bool) {
+	policy, ok := catalog.specs.policies[name]
+	return policy, ok
+}
+
+// DataCentreInService tells whether a data centre takes new work. One without
+// a record does.
+func (catalog *Catalog) DataCentreInService(name string) bool {
+	dataCentre, ok := catalog.specs.dataCentres[name]
+	return !ok || dataCentre.InService
+}
+
+// UpstreamInService tells whether an upstream takes new work: it and its data
+// centre must not be taken out.
+func (catalog *Catalog) UpstreamInService(id UpstreamID) bool {
+	upstream, ok := catalog.Upstreams[id]
+	if !ok || !catalog.DataCentreInService(upstream.DataCentre) {
+		return false
+	}
+	record, ok := catalog.specs.upstreams[id.String()]
+	return !ok || record.InService
+}
+
+// UpstreamsOf returns the announced upstreams of a service, sorted by name.
+func (catalog *Catalog) UpstreamsOf(service string) []Upstream {
+	var upstreams []Upstream
+	for id, upstream := range catalog.Upstreams {
+		if id.Service == service {
+			upstreams = append(upstreams, upstream)
+		}
+	}
+	slices.SortFunc(upstreams, func(left, right Upstream) int {
+		return cmpStrings(left.ID.Name, right.ID.Name)
+	})
+	return upstreams
+}
+
+func cmpStrings(left, right string) int {
+	switch {
+	case left < right:
+		return -1
+	case left > right:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Skip returns the catalog at a later index without a change.
+func (catalog *Catalog) Skip(index uint64) *Catalog {
+	next := *catalog
+	next.Index = max(next.Index, index)
+	return &next
+}
+
+// Apply returns the catalog after the command at index, and its result.
+func (catalog *Catalog) Apply(index uint64, command Command) (*Catalog, Result) {
+	next := *catalog
+	next.Index = index
+	result := Result{Index: index, Outcome: OutcomeDone}
+	switch command := command.(type) {
+	case ApplyRecords:
+		result = next.applyRecords(index, command)
+	case OpenSession:
+		next.openSession(index, command)
+	case CloseSession:
+		next.closeSession(command)
+	case DrainSession:
+		next.drainSession(command)
+	case MoveShards:
+		next.moveShards(index, command)
+	case ReleaseShards:
+		next.releaseShards(index, command)
+	case RemoveShards:
+		next.removeShards(command)
+	case SeeUpstream:
+		next.seeUpstream(index, command)
+	case LoseUpstream:
+		result = next.loseUpstream(index, command)
+	case MoveSlots:
+		next.moveSlots(index, command)
+	case ReleaseSlots:
+		result = next.releaseSlots(index, command)
+	case StrikeRequest:
+		next.strikeRequest(command)
+	case AbsolveRequest:
+		next.Quarantine = without(next.Quarantine, command.Fingerprint)
+	}
+	return &next, result
+}
+
+// applyRecords accepts versions that follow the ones in force. The same
+// version with the same content is a resend.
+func (catalog *Catalog) applyRecords(index uint64, command ApplyRecords) Result {
+	fresh := 0
+	for _, record := range command.Records {
+		present, exists := catalog.Records[record.ID()]
+		switch {
+		case exists && catalog.accepted(record, present):
+			continue
+		case record.Version != present.Version+1:
+			return Result{Index: index, Outcome: OutcomeConflict, Detail: conflict(record, present)}
+		}
+		if _, err := record.Parse(); err != nil && !record.Deleted {
+			return Result{Index: index, Outcome: OutcomeInvalid, Detail: err.Error()}
+		}
+		fresh++
+	}
+	if fresh == 0 {
+		return Result{Index: index, Outcome: OutcomeResent}
+	}
+	catalog.storeRecords(index, command)
+	return Result{Index: index, Outcome: OutcomeDone}
+}
+
+// accepted tells whether this very version is in force or was before, so that
+// sending it again after a lost answer succeeds.
+func (catalog *Catalog) accepted(record, present spec.Record) bool {
+	if present.Same(record) {
+		return true
+	}
+	return record.Version < present.Version && slices.ContainsFunc(catalog.History, func(change Change) bool {
+		return change.Record.Same(record)
+	})
+}
+
+func conflict(record, present spec.Record) string {
+	if record.Version == present.Version {
+		return fmt.Sprintf("%s version %d is in force with other content", record.ID(), record.Version)
+	}
+	return fmt.Sprintf("%s version %d is in force, so the next is %d and not %d",
+		record.ID(), present.Version, present.Version+1, record.Version)
+}
+
+func (catalog *Catalog) storeRecords(index uint64, command ApplyRecords) {
+	records := maps.Clone(catalog.Records)
+	if records == nil {
+		records = map[spec.ID]spec.Record{}
+	}
+	history := slices.Clone(catalog.History)
+	for _, record := range command.Records {
+		if present, exists := records[record.ID()]; exists && catalog.accepted(record, present) {
+			continue
+		}
+		records[record.ID()] = record
+		history = append(history, Change{Index: index, At: command.At, Operator: command.Operator, Record: record})
+	}
+	if len(history) > historyLimit {
+		history = slices.Clone(history[len(history)-historyLimit:])
+	}
+	catalog.Records = records
+	catalog.History = history
+	catalog.parseRecords()
+}
+
+// parseRecords builds the typed view of all records and an ownership table for
+// each service whose keys are divided.
+func (catalog *Catalog) parseRecords() {
+	parsed := specs{
+		services:    map[string]spec.Service{},
+		workspaces:  map[string]spec.Workspace{},
+		callerKeys:  map[string]spec.CallerKey{},
+		rates:       map[string]spec.Rate{},
+		policies:    map[string]spec.Policy{},
+		dataCentres: map[string]spec.DataCentre{},
+		upstreams:   map[string]spec.Upstream{},
+	}
+	for _, record := range catalog.Records {
+		if record.Deleted {
+			continue
+		}
+		content, err := record.Parse()
+		if err != nil {
+			continue
+		}
+		parsed.add(content)
+	}
+	catalog.specs = parsed
+	catalog.fitTables()
+}
+
+func (specs *specs) add(content spec.Spec) {
+	switch content := content.(type) {
+	case spec.Service:
+		specs.services[content.Name] = content
+	case spec.Workspace:
+		specs.workspaces[content.Name] = content
+	case spec.CallerKey:
+		specs.callerKeys[content.Name] = content
+	case spec.Rate:
+		// Of two rates for one workspace the stricter one counts.
+		present, ok := specs.rates[content.Workspace]
+		if !ok || stricter(content, present) {
+			specs.rates[content.Workspace] = content
+		}
+	case spec.Policy:
+		specs.policies[content.Name] = content
+	case spec.DataCentre:
+		specs.dataCentres[content.Name] = content
+	case spec.Upstream:
+		specs.upstreams[content.Name] = content
+	}
+}
+
+func stricter(left, right spec.Rate) bool {
+	if left.PerSecond != right.PerSecond {
+		return left.PerSecond < right.PerSecond
+	}
+	return left.Name < right.Name
+}
+
+// fitTables creates the tables of new services. The number of partitions is
+// fixed once a table exists, since another one would move every key at once.
+func (catalog *Catalog) fitTables() {
+	for name, service := range catalog.specs.services {
+		if _, ok := catalog.Tables[name]; !ok && service.Partitions > 0 {
+			catalog.Tables = with(catalog.Tables, name, Table{Partitions: make([]Owner, service.Partitions)})
+		}
+	}
+}
+
+func (catalog *Catalog) strikeRequest(command StrikeRequest) {
+	suspect := catalog.Quarantine[command.Fingerprint]
+	if !slices.Contains(suspect.Upstreams, command.Upstream) {
+		suspect.Upstreams = append(slices.Clone(suspect.Upstreams), command.Upstream)
+	}
+	suspect.At = command.At
+	catalog.Quarantine = with(catalog.Quarantine, command.Fingerprint, suspect)
+	for fingerprint, old := range catalog.Quarantine {
+		if command.At.Sub(old.At) > quarantineAge {
+			catalog.Quarantine = without(catalog.Quarantine, fingerprint)
+		}
+	}
+}
+
+// with returns a copy of the map with the key set.
+func with[K comparable, V any](values map[K]V, key K, value V) map[K]V {
+	next := make(map[K]V, len(values)+1)
+	maps.Copy(next, values)
+	next[key] = value
+	return next
+}
+
+// without returns a copy of the map that lacks the key.
+func without[K comparable, V any](values map[K]V, key K) map[K]V {
+	if _, ok := values[key]; !ok {
+		return values
+	}
+	next := maps.Clone(values)
+	delete(next, key)
+	return next
+}
--- /dev/null
+++ b/internal/control/state/command.go
@@ -0,0 +1,322 @@
+package state
+
+import (
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/control/spec"
+)
+
+// Command is one entry of the replicated log.
+type Command interface{ command() }
+
+// ApplyRecords puts new versions of records in force, all or none.
+type ApplyRecords struct {
+	Records  []spec.Record
+	Operator string
+	At       time.Time
+}
+
+// OpenSession lets a host join the fleet.
+type OpenSession struct{ Host Host }
+
+// CloseSession ends a host's session and takes its shards. Only a control
+// leader proposes it, once the session's lease has surely ended.
+type CloseSession struct {
+	Host  string
+	Epoch uint64
+}
+
+// DrainSession says that a host is shutting down.
+type DrainSession struct {
+	Host  string
+	Epoch uint64
+}
+
+// ShardMove gives a shard to a host. Epoch is the shard's present epoch.
+type ShardMove struct {
+	Shard ShardID
+	Epoch uint64
+	Host  string
+}
+
+// MoveShards gives free shards to hosts, and tells the holders of others to
+// let go.
+type MoveShards struct{ Moves []ShardMove }
+
+// ReleaseShards is said by a holder that has stopped its duty.
+type ReleaseShards struct {
+	Session uint64
+	Shards  []ShardID
+}
+
+// RemoveShards drops shards that no host holds and no record needs.
+type RemoveShards struct{ Shards []ShardID }
+
+// SeeUpstream enters or renews an announced upstream.
+type SeeUpstream struct{ Upstream Upstream }
+
+// LoseUpstream takes an upstream out after its grants have surely ended. Only
+// the holder of its dispatch shard may say so.
+type LoseUpstream struct {
+	ID         UpstreamID
+	Epoch      uint64
+	Shard      ShardID
+	ShardEpoch uint64
+	Reason     string
+}
+
+// SlotMove gives a slot to an upstream. Token is the slot's present token. A
+// key slot with Token 0 is carved out of its partition.
+type SlotMove struct {
+	Slot  Slot
+	Token uint64
+	To    string
+}
+
+// MoveSlots gives free slots to upstreams, and tells the primaries of the
+// owners of others to let go.
+type MoveSlots struct {
+	Service string
+	Moves   []SlotMove
+}
+
+// SlotRelease names a slot and the token under which it was served.
+type SlotRelease struct {
+	Slot  Slot
+	Token uint64
+}
+
+// ReleaseSlots is said by a primary whose upstream no longer serves the slots.
+type ReleaseSlots struct {
+	Service    string
+	Shard      ShardID
+	ShardEpoch uint64
+	Releases   []SlotRelease
+}
+
+// StrikeRequest notes that an upstream was lost while it ran a request.
+type StrikeRequest struct {
+	Fingerprint string
+	Upstream    string
+	At          time.Time
+}
+
+// AbsolveRequest forgets the strikes of a request that ran to its end.
+type AbsolveRequest struct{ Fingerprint string }
+
+// BeginRequest enters a request in the ledger before its first byte is sent.
+type BeginRequest struct {
+	Key         LedgerKey
+	Fingerprint string
+	Attempt     string
+	Shard       ShardID
+	ShardEpoch  uint64
+	At          time.Time
+}
+
+// FinishRequest stores the answer of a request, or that it will stay unknown.
+type FinishRequest struct {
+	Key     LedgerKey
+	Attempt string
+	Answer  Answer
+}
+
+// DropRequest takes a request out that surely did not run.
+type DropRequest struct {
+	Key     LedgerKey
+	Attempt string
+}
+
+func (ApplyRecords) command()   {}
+func (OpenSession) command()    {}
+func (CloseSession) command()   {}
+func (DrainSession) command()   {}
+func (MoveShards) command()     {}
+func (ReleaseShards) command()  {}
+func (RemoveShards) command()   {}
+func (SeeUpstream) command()    {}
+func (LoseUpstream) command()   {}
+func (MoveSlots) command()      {}
+func (ReleaseSlots) command()   {}
+func (StrikeRequest) command()  {}
+func (AbsolveRequest) command() {}
+func (BeginRequest) command()   {}
+func (FinishRequest) command()  {}
+func (DropRequest) command()    {}
+
+// commandKind is a command's name in the log.
+type commandKind string
+
+const (
+	kindApplyRecords   commandKind = "applyRecords"
+	kindOpenSession    commandKind = "openSession"
+	kindCloseSession   commandKind = "closeSession"
+	kindDrainSession   commandKind = "drainSession"
+	kindMoveShards     commandKind = "moveShards"
+	kindReleaseShards  commandKind = "releaseShards"
+	kindRemoveShards   commandKind = "removeShards"
+	kindSeeUpstream    commandKind = "seeUpstream"
+	kindLoseUpstream   commandKind = "loseUpstream"
+	kindMoveSlots      commandKind = "moveSlots"
+	kindReleaseSlots   commandKind = "releaseSlots"
+	kindStrikeRequest  commandKind = "strikeRequest"
+	kindAbsolveRequest commandKind = "absolveRequest"
+	kindBeginRequest   commandKind = "beginRequest"
+	kindFinishRequest  commandKind = "finishRequest"
+	kindDropRequest    commandKind = "dropRequest"
+)
+
+func kindOf(command Command) commandKind {
+	switch command.(type) {
+	case ApplyRecords:
+		return kindApplyRecords
+	case OpenSession:
+		return kindOpenSession
+	case CloseSession:
+		return kindCloseSession
+	case DrainSession:
+		return kindDrainSession
+	case MoveShards:
+		return kindMoveShards
+	case ReleaseShards:
+		return kindReleaseShards
+	case RemoveShards:
+		return kindRemoveShards
+	case SeeUpstream:
+		return kindSeeUpstream
+	case LoseUpstream:
+		return kindLoseUpstream
+	case MoveSlots:
+		return kindMoveSlots
+	case ReleaseSlots:
+		return kindReleaseSlots
+	case StrikeRequest:
+		return kindStrikeRequest
+	case AbsolveRequest:
+		return kindAbsolveRequest
+	case BeginRequest:
+		return kindBeginRequest
+	case FinishRequest:
+		return kindFinishRequest
+	default:
+		return kindDropRequest
+	}
+}
+
+// packed is a command or result behind its name.
+type packed struct {
+	_    struct{} `cbor:",toarray"`
+	Kind commandKind
+	Body codec.Raw
+}
+
+// EncodeCommand encodes a command for the log.
+func EncodeCommand(command Command) ([]byte, error) {
+	body, err := codec.Marshal(command)
+	if err != nil {
+		return nil, Error.New("encode command: %w", err)
+	}
+	data, err := codec.Marshal(packed{Kind: kindOf(command), Body: body})
+	if err != nil {
+		return nil, Error.New("encode command: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeCommand decodes a command of the log.
+func DecodeCommand(data []byte) (Command, error) {
+	var envelope packed
+	if err := codec.Unmarshal(data, &envelope); err != nil {
+		return nil, Error.New("decode command: %w", err)
+	}
+	command, err := decodeBody(envelope.Kind, envelope.Body)
+	if err != nil {
+		return nil, Error.New("decode command: %w", err)
+	}
+	return command, nil
+}
+
+func decodeBody(kind commandKind, body codec.Raw) (Command, error) {
+	switch kind {
+	case kindApplyRecords:
+		return decodeAs[ApplyRecords](body)
+	case kindOpenSession:
+		return decodeAs[OpenSession](body)
+	case kindCloseSession:
+		return decodeAs[CloseSession](body)
+	case kindDrainSession:
+		return decodeAs[DrainSession](body)
+	case kindMoveShards:
+		return decodeAs[MoveShards](body)
+	case kindReleaseShards:
+		return decodeAs[ReleaseShards](body)
+	case kindRemoveShards:
+		return decodeAs[RemoveShards](body)
+	case kindSeeUpstream:
+		return decodeAs[SeeUpstream](body)
+	case kindLoseUpstream:
+		return decodeAs[LoseUpstream](body)
+	case kindMoveSlots:
+		return decodeAs[MoveSlots](body)
+	case kindReleaseSlots:
+		return decodeAs[ReleaseSlots](body)
+	case kindStrikeRequest:
+		return decodeAs[StrikeRequest](body)
+	case kindAbsolveRequest:
+		return decodeAs[AbsolveRequest](body)
+	case kindBeginRequest:
+		return decodeAs[BeginRequest](body)
+	case kindFinishRequest:
+		return decodeAs[FinishRequest](body)
+	case kindDropRequest:
+		return decodeAs[DropRequest](body)
+	default:
+		return nil, Error.New("command %q is not known to this version", kind)
+	}
+}
+
+func decodeAs[T Command](body codec.Raw) (Command, error) {
+	var command T
+	if err := codec.Unmarshal(body, &command); err != nil {
+		return nil, Error.New("%w", err)
+	}
+	return command, nil
+}
+
+// LedgerOnly tells whether a command changes nothing but the ledger, so that
+// hosts without the ledger need not see it.
+func LedgerOnly(command Command) bool {
+	switch command.(type) {
+	case BeginRequest, FinishRequest, DropRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// Outcome says what became of a command.
+type Outcome string
+
+// The outcomes of commands.
+const (
+	OutcomeDone       Outcome = "done"
+	OutcomeResent     Outcome = "resent"
+	OutcomeConflict   Outcome = "conflict"
+	OutcomeInvalid    Outcome = "invalid"
+	OutcomeStale      Outcome = "stale"
+	OutcomeInProgress Outcome = "inProgress"
+	OutcomeFinished   Outcome = "finished"
+	OutcomeUnknown    Outcome = "unknown"
+	OutcomeMismatch   Outcome = "mismatch"
+	OutcomeFull       Outcome = "full"
+)
+
+// Result is what a command's proposer learns.
+type Result struct {
+	Index   uint64
+	Outcome Outcome
+	Detail  string
+	// Answer is the stored answer of a finished request.
+	Answer Answer
+}
--- /dev/null
+++ b/internal/control/state/ledger.go
@@ -0,0 +1,220 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// LedgerShards is the number of parts that the ledger is divided into.
+	LedgerShards = 64
+	// ledgerLimit bounds the requests that one part remembers.
+	ledgerLimit = 4096
+	// LedgerAge is how long a request is remembered.
+	LedgerAge = 24 * time.Hour
+	// StoredBodyLimit is the largest answer body in bytes that is stored.
+	StoredBodyLimit = 64 << 10
+	// partBodyBudget bounds the bodies in bytes that one part stores; the
+	// oldest bodies go first, their status stays.
+	partBodyBudget = 256 << 10
+)
+
+// LedgerKey names a request that must run at most once.
+type LedgerKey struct {
+	Workspace string
+	Service   string
+	// Key is the caller's Idempotency-Key.
+	Key string
+}
+
+// Shard returns the part of the ledger that holds the key.
+func (ledgerkey LedgerKey) Shard() int {
+	text := ledgerkey.Workspace + "\x00" + ledgerkey.Service + "\x00" + ledgerkey.Key
+	return int(xxhash.Sum64String(text) % LedgerShards)
+}
+
+// HeaderField is one field of an answer's head.
+type HeaderField struct {
+	Name  string
+	Value string
+}
+
+// Answer is an upstream's answer as the ledger stores it.
+type Answer struct {
+	Status int
+	Header []HeaderField
+	Body   []byte
+	// Unknown is set where it can't be known whether the request ran.
+	Unknown bool
+	// Omitted is set where the body was too large to be stored.
+	Omitted bool
+}
+
+// ledgerEntry is what the ledger knows of one request.
+type ledgerEntry struct {
+	Fingerprint string
+	Attempt     string
+	Shard       ShardID
+	ShardEpoch  uint64
+	At          time.Time
+	Finished    bool
+	Answer      Answer
+}
+
+// ledgerPart is one of the ledger's parts, with its keys in order of entry.
+type ledgerPart struct {
+	Entries map[LedgerKey]ledgerEntry
+	Order   []LedgerKey
+	// StoredBytes is the length in bytes of all stored bodies.
+	StoredBytes int
+}
+
+// Ledger remembers the requests that must run at most once. The zero Ledger is
+// empty. It is not safe for concurrent use.
+type Ledger struct {
+	Parts [LedgerShards]ledgerPart
+}
+
+// Len returns the number of requests that the ledger remembers.
+func (ledger *Ledger) Len() int {
+	count := 0
+	for _, part := range ledger.Parts {
+		count += len(part.Entries)
+	}
+	return count
+}
+
+// Apply carries a command out. The catalog tells which primaries are current.
+func (ledger *Ledger) Apply(index uint64, command Command, catalog *Catalog) Result {
+	outcome := Result{Index: index, Outcome: OutcomeDone}
+	switch command := command.(type) {
+	case BeginRequest:
+		outcome = ledger.begin(command, catalog)
+	case FinishRequest:
+		outcome.Outcome = ledger.finish(command)
+	case DropRequest:
+		outcome.Outcome = ledger.drop(command)
+	}
+	outcome.Index = index
+	return outcome
+}
+
+func (ledger *Ledger) begin(command BeginRequest, catalog *Catalog) Result {
+	if catalog.Shards[command.Shard].Epoch != command.ShardEpoch {
+		return Result{Outcome: OutcomeStale}
+	}
+	part := &ledger.Parts[command.Key.Shard()]
+	part.expire(command.At)
+	entry, exists := part.Entries[command.Key]
+	if exists {
+		return entry.resend(command, catalog)
+	}
+	if len(part.Entries) >= ledgerLimit {
+		return Result{Outcome: OutcomeFull}
+	}
+	if part.Entries == nil {
+		part.Entries = map[LedgerKey]ledgerEntry{}
+	}
+	part.Entries[command.Key] = ledgerEntry{
+		Fingerprint: command.Fingerprint,
+		Attempt:     command.Attempt,
+		Shard:       command.Shard,
+		ShardEpoch:  command.ShardEpoch,
+		At:          command.At,
+	}
+	part.Order = append(part.Order, command.Key)
+	return Result{Outcome: OutcomeDone}
+}
+
+// resend tells a second arrival what became of the first. A first arrival
+// whose primary lost its shard can't be finished any more.
+func (ledgerentry ledgerEntry) resend(command BeginRequest, catalog *Catalog) Result {
+	switch {
+	case ledgerentry.Fingerprint != command.Fingerprint:
+		return Result{Outcome: OutcomeMismatch}
+	case ledgerentry.Attempt == command.Attempt && !ledgerentry.Finished:
+		return Result{Outcome: OutcomeDone}
+	case ledgerentry.Finished && ledgerentry.Answer.Unknown:
+		return Result{Outcome: OutcomeUnknown}
+	case ledgerentry.Finished:
+		return Result{Outcome: OutcomeFinished, Answer: ledgerentry.Answer}
+	case catalog.Shards[ledgerentry.Shard].Epoch != ledgerentry.ShardEpoch:
+		return Result{Outcome: OutcomeUnknown}
+	default:
+		return Result{Outcome: OutcomeInProgress}
+	}
+}
+
+func (ledger *Ledger) finish(command FinishRequest) Outcome {
+	part := &ledger.Parts[command.Key.Shard()]
+	entry, ok := part.Entries[command.Key]
+	if !ok || entry.Attempt != command.Attempt {
+		return OutcomeStale
+	}
+	if entry.Finished && !entry.Answer.Unknown {
+		return OutcomeDone
+	}
+	entry.Finished = true
+	entry.Answer = command.Answer
+	part.Entries[command.Key] = entry
+	part.StoredBytes += len(command.Answer.Body)
+	part.shedBodies()
+	return OutcomeDone
+}
+
+func (ledger *Ledger) drop(command DropRequest) Outcome {
+	part := &ledger.Parts[command.Key.Shard()]
+	entry, ok := part.Entries[command.Key]
+	if !ok || entry.Attempt != command.Attempt || entry.Finished {
+		return OutcomeStale
+	}
+	delete(part.Entries, command.Key)
+	return OutcomeDone
+}
+
+// expire forgets the requests that have reached the ledger's age.
+func (ledgerpart *ledgerPart) expire(now time.Time) {
+	for len(ledgerpart.Order) > 0 {
+		key := ledgerpart.Order[0]
+		entry, ok := ledgerpart.Entries[key]
+		if ok && now.Sub(entry.At) < LedgerAge {
+			return
+		}
+		ledgerpart.StoredBytes -= len(entry.Answer.Body)
+		delete(ledgerpart.Entries, key)
+		ledgerpart.Order = ledgerpart.Order[1:]
+	}
+}
+
+// shedBodies drops the oldest stored bodies until the rest fit the budget.
+func (ledgerpart *ledgerPart) shedBodies() {
+	for _, key := range ledgerpart.Order {
+		if ledgerpart.StoredBytes <= partBodyBudget {
+			return
+		}
+		entry, ok := ledgerpart.Entries[key]
+		if !ok || len(entry.Answer.Body) == 0 {
+			continue
+		}
+		ledgerpart.StoredBytes -= len(entry.Answer.Body)
+		entry.Answer.Body = nil
+		entry.Answer.Omitted = true
+		ledgerpart.Entries[key] = entry
+	}
+}
+
+// Clone returns a ledger that can be encoded while this one changes.
+func (ledger *Ledger) Clone() *Ledger {
+	clone := &Ledger{}
+	for number, part := range ledger.Parts {
+		clone.Parts[number] = ledgerPart{
+			Entries:     maps.Clone(part.Entries),
+			Order:       slices.Clone(part.Order),
+			StoredBytes: part.StoredBytes,
+		}
+	}
+	return clone
+}
--- /dev/null
+++ b/internal/control/state/machine.go
@@ -0,0 +1,81 @@
+package state
+
+import (
+	"damaskcrank.example/damaskcrank/internal/base/codec"
+)
+
+// Machine is a control host's whole state: catalog and ledger.
+type Machine struct {
+	Catalog *Catalog
+	Ledger  *Ledger
+}
+
+// NewMachine returns an empty state.
+func NewMachine() *Machine {
+	return &Machine{Catalog: &Catalog{}, Ledger: &Ledger{}}
+}
+
+// Apply carries out the command at index.
+func (machine *Machine) Apply(index uint64, command Command) Result {
+	if LedgerOnly(command) {
+		machine.Catalog = machine.Catalog.Skip(index)
+		return machine.Ledger.Apply(index, command, machine.Catalog)
+	}
+	catalog, result := machine.Catalog.Apply(index, command)
+	machine.Catalog = catalog
+	return result
+}
+
+// machineImage is a snapshot of a Machine.
+type machineImage struct {
+	Catalog []byte
+	Ledger  *Ledger
+}
+
+// Snapshot encodes the whole state.
+func (machine *Machine) Snapshot() ([]byte, error) {
+	catalog, err := machine.Catalog.Encode()
+	if err != nil {
+		return nil, err
+	}
+	data, err := codec.Marshal(machineImage{Catalog: catalog, Ledger: machine.Ledger})
+	if err != nil {
+		return nil, Error.New("snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// RestoreMachine decodes a snapshot. Empty data is an empty state.
+func RestoreMachine(data []byte) (*Machine, error) {
+	if len(data) == 0 {
+		return NewMachine(), nil
+	}
+	image := machineImage{Ledger: &Ledger{}}
+	if err := codec.Unmarshal(data, &image); err != nil {
+		return nil, Error.New("restore snapshot: %w", err)
+	}
+	catalog, err := DecodeCatalog(image.Catalog)
+	if err != nil {
+		return nil, err
+	}
+	return &Machine{Catalog: catalog, Ledger: image.Ledger}, nil
+}
+
+// Encode encodes the catalog.
+func (catalog *Catalog) Encode() ([]byte, error) {
+	data, err := codec.Marshal(catalog)
+	if err != nil {
+		return nil, Error.New("encode catalog: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeCatalog decodes a catalog and parses its records.
+func DecodeCatalog(data []byte) (*Catalog, error) {
+	catalog := &Catalog{}
+	if err := codec.Unmarshal(data, catalog); err != nil {
+		return nil, Error.New("decode catalog: %w", err)
+	}
+	catalog.parseRecords()
+	return catalog, nil
+}
--- /dev/null
+++ b/internal/dispatch/calls/calls.go
@@ -0,0 +1,226 @@
+// Package calls defines what entry hosts and primaries say to each other about
+// a caller's request.
+package calls
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("calls")
+
+// The kinds of payloads on a link.
+const (
+	KindCall    = "call"
+	KindAnswer  = "answer"
+	KindRefusal = "refusal"
+	KindBorrow  = "borrow"
+	KindLend    = "lend"
+	KindLoad    = "load"
+)
+
+// Request is a caller's request on its way to an upstream.
+type Request struct {
+	ID        string
+	Workspace string
+	Service   string
+	// Key is the resource key of a service whose keys are divided.
+	Key    string
+	Method string
+	// Target is the path below the service and the query.
+	Target         string
+	Header         []state.HeaderField
+	IdempotencyKey string
+	// Fingerprint identifies the request's content.
+	Fingerprint string
+	// Remaining is the time left until the request's deadline.
+	Remaining  time.Duration
+	Shard      state.ShardID
+	ShardEpoch uint64
+	Body       []byte `cbor:"-"`
+}
+
+// Idempotent tells whether the request may run more than once.
+func (request Request) Idempotent() bool {
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return false
+	}
+}
+
+// SetFingerprint computes the fingerprint of the request's content.
+func (request *Request) SetFingerprint() {
+	digest := sha256.New()
+	for _, part := range []string{request.Workspace, request.Service, request.Key, request.Method, request.Target} {
+		_, _ = digest.Write([]byte(part))
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(request.Body)
+	request.Fingerprint = hex.EncodeToString(digest.Sum(nil)[:16])
+}
+
+// Ran says whether a refused request ran.
+type Ran string
+
+// Whether a refused request ran.
+const (
+	RanNot     Ran = "notRun"
+	RanUnknown Ran = "unknown"
+	RanYes     Ran = "ran"
+)
+
+// Reason is why a request was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonNoKey              Reason = "callerKeyMissing"
+	ReasonBadKey             Reason = "callerKeyUnknown"
+	ReasonUnknownService     Reason = "serviceUnknown"
+	ReasonNoResourceKey      Reason = "resourceKeyMissing"
+	ReasonBodyTooLarge       Reason = "bodyTooLarge"
+	ReasonBadRequest         Reason = "requestMalformed"
+	ReasonOverRate           Reason = "overRate"
+	ReasonQuotaUnavailable   Reason = "quotaUnavailable"
+	ReasonQueueFull          Reason = "queueFull"
+	ReasonDeadlineNear       Reason = "deadlineTooNear"
+	ReasonDeadlinePassed     Reason = "deadlinePassed"
+	ReasonLeaseLost          Reason = "leaseLost"
+	ReasonHostCutOff         Reason = "hostCutOff"
+	ReasonHostStopping       Reason = "hostStopping"
+	ReasonShardMoved         Reason = "shardMoved"
+	ReasonKeyMoving          Reason = "keyMoving"
+	ReasonNoOwner            Reason = "noOwner"
+	ReasonNoUpstream         Reason = "noUpstream"
+	ReasonUpstreamLost       Reason = "upstreamLost"
+	ReasonUpstreamShed       Reason = "upstreamShed"
+	ReasonUpstreamTimeout    Reason = "upstreamTimeout"
+	ReasonUnreachable        Reason = "upstreamUnreachable"
+	ReasonAnswerCut          Reason = "answerCut"
+	ReasonAnswerTooLarge     Reason = "answerTooLarge"
+	ReasonAnswerUnframed     Reason = "answerUnframed"
+	ReasonQuarantined        Reason = "quarantined"
+	ReasonKeyReused          Reason = "idempotencyKeyReused"
+	ReasonOutcomeUnknown     Reason = "outcomeUnknown"
+	ReasonStillRunning       Reason = "stillRunning"
+	ReasonAnswerOmitted      Reason = "answerNotStored"
+	ReasonLedgerFull         Reason = "ledgerFull"
+	ReasonLedgerUnavailable  Reason = "ledgerUnavailable"
+	ReasonLinkLost           Reason = "linkLost"
+	ReasonPrimaryUnreachable Reason = "primaryUnreachable"
+	ReasonCallerGone         Reason = "callerGone"
+)
+
+// Moving tells whether a refusal only means that another primary or owner is
+// or soon will be in charge, so that the entry host asks again.
+func (reason Reason) Moving() bool {
+	switch reason {
+	case ReasonLeaseLost, ReasonHostStopping, ReasonShardMoved, ReasonKeyMoving, ReasonNoOwner,
+		ReasonNoUpstream, ReasonUpstreamLost, ReasonPrimaryUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
+// Outcome is what becomes of a request: Answered or Refused.
+type Outcome interface{ outcome() }
+
+// Answered holds an upstream's whole answer.
+type Answered struct {
+	Answer state.Answer
+	// Replayed is set where the answer was stored by an earlier arrival.
+	Replayed bool
+	Upstream string
+}
+
+// Refused says why there is no answer and whether the request ran.
+type Refused struct {
+	Reason     Reason
+	Ran        Ran
+	Detail     string
+	RetryAfter time.Duration
+}
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+
+// answeredHead is Answered without the body, which travels raw.
+type answeredHead struct {
+	Status   int
+	Header   []state.HeaderField
+	Replayed bool
+	Upstream string
+}
+
+// EncodeRequest makes a payload of a request.
+func EncodeRequest(request Request) (links.Payload, error) {
+	head, err := codec.Marshal(request)
+	if err != nil {
+		return links.Payload{}, Error.New("encode request: %w", err)
+	}
+	return links.Payload{Kind: KindCall, Head: head, Body: request.Body}, nil
+}
+
+// DecodeRequest reads a request out of a payload.
+func DecodeRequest(payload links.Payload) (Request, error) {
+	var request Request
+	if err := codec.Unmarshal(payload.Head, &request); err != nil {
+		return Request{}, Error.New("decode request: %w", err)
+	}
+	request.Body = payload.Body
+	return request, nil
+}
+
+// EncodeOutcome makes a payload of an outcome.
+func EncodeOutcome(outcome Outcome) (links.Payload, error) {
+	switch outcome := outcome.(type) {
+	case Answered:
+		head, err := codec.Marshal(answeredHead{
+			Status: outcome.Answer.Status, Header: outcome.Answer.Header,
+			Replayed: outcome.Replayed, Upstream: outcome.Upstream,
+		})
+		if err != nil {
+			return links.Payload{}, Error.New("encode answer: %w", err)
+		}
+		return links.Payload{Kind: KindAnswer, Head: head, Body: outcome.Answer.Body}, nil
+	default:
+		head, err := codec.Marshal(outcome)
+		if err != nil {
+			return links.Payload{}, Error.New("encode refusal: %w", err)
+		}
+		return links.Payload{Kind: KindRefusal, Head: head}, nil
+	}
+}
+
+// DecodeOutcome reads an outcome out of a payload.
+func DecodeOutcome(payload links.Payload) (Outcome, error) {
+	switch payload.Kind {
+	case KindAnswer:
+		var head answeredHead
+		if err := codec.Unmarshal(payload.Head, &head); err != nil {
+			return nil, Error.New("decode answer: %w", err)
+		}
+		answer := state.Answer{Status: head.Status, Header: head.Header, Body: payload.Body}
+		return Answered{Answer: answer, Replayed: head.Replayed, Upstream: head.Upstream}, nil
+	case KindRefusal:
+		var refused Refused
+		if err := codec.Unmarshal(payload.Head, &refused); err != nil {
+			return nil, Error.New("decode refusal: %w", err)
+		}
+		return refused, nil
+	default:
+		return nil, Error.New("payload %q is no outcome", payload.Kind)
+	}
+}
--- /dev/null
+++ b/internal/peer/fetch/fetch.go
@@ -0,0 +1,168 @@
+// Package fetch keeps a host's catalog up to date from any control host.
+package fetch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/control/group"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("fetch")
+
+const (
+	// wait is how long a control host holds a fetch that finds no news.
+	wait       = 400 * time.Millisecond
+	retryPause = 30 * time.Millisecond
+	// logPrefix starts each line that this package logs.
+	logPrefix = "configuration: "
+)
+
+// Source is where catalog changes come from.
+type Source interface {
+	Fetch(after uint64, wait time.Duration) (group.FetchReply, error)
+	// NextSource turns to another control host.
+	NextSource()
+}
+
+// Follower holds a host's catalog. Reading it is cheap and safe from any
+// goroutine.
+type Follower struct {
+	source Source
+	log    log.Interface
+	// leaderIndex is the highest index that a leader has told the host of.
+	leaderIndex func() uint64
+	catalog     atomic.Pointer[state.Catalog]
+	mutex       sync.Mutex
+	watchers    []chan struct{}
+	stop        chan struct{}
+	done        chan struct{}
+}
+
+// NewFollower starts to follow from an empty catalog.
+func NewFollower(source Source, leaderIndex func() uint64, logger log.Interface) *Follower {
+	follower := &Follower{
+		source: source, leaderIndex: leaderIndex, log: logger,
+		stop: make(chan struct{}), done: make(chan struct{}),
+	}
+	follower.catalog.Store(&state.Catalog{})
+	return follower
+}
+
+// Start starts the follower's task.
+func (follower *Follower) Start() { go follower.run() }
+
+// Catalog returns the latest catalog.
+func (follower *Follower) Catalog() *state.Catalog { return follower.catalog.Load() }
+
+// Watch returns a channel that signals after changes; signals may merge.
+func (follower *Follower) Watch() chan struct{} {
+	watcher := make(chan struct{}, 1)
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.watchers = append(follower.watchers, watcher)
+	return watcher
+}
+
+// Unwatch ends the signals to a channel.
+func (follower *Follower) Unwatch(watcher chan struct{}) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	for position, other := range follower.watchers {
+		if other == watcher {
+			follower.watchers = append(follower.watchers[:position:position], follower.watchers[position+1:]...)
+			return
+		}
+	}
+}
+
+func (follower *Follower) run() {
+	defer close(follower.done)
+	for {
+		select {
+		case <-follower.stop:
+			return
+		default:
+		}
+		expected := follower.leaderIndex()
+		reply, err := follower.source.Fetch(follower.Catalog().Index, wait)
+		if err == nil {
+			err = follower.take(reply)
+		}
+		if err != nil {
+			follower.log.WithError(err).Debug(logPrefix + "a fetch failed")
+			follower.pause()
+			continue
+		}
+		if follower.Catalog().Index < expected {
+			// The control host lags behind what the leader had committed before
+			// the fetch began: it may be cut off.
+			follower.source.NextSource()
+		}
+	}
+}
+
+func (follower *Follower) pause() {
+	select {
+	case <-follower.stop:
+	case <-time.After(retryPause):
+	}
+}
+
+// take applies a reply. A reply that is older than the catalog changes
+// nothing: the host never goes back.
+func (follower *Follower) take(reply group.FetchReply) error {
+	catalog := follower.Catalog()
+	before := catalog.Index
+	if reply.Catalog != nil {
+		whole, err := state.DecodeCatalog(reply.Catalog)
+		if err != nil {
+			return Error.New("take catalog: %w", err)
+		}
+		if whole.Index > catalog.Index {
+			catalog = whole
+		}
+	}
+	for _, delta := range reply.Deltas {
+		if delta.Index <= catalog.Index {
+			continue
+		}
+		command, err := state.DecodeCommand(delta.Command)
+		if err != nil {
+			return Error.New("take change %d: %w", delta.Index, err)
+		}
+		catalog, _ = catalog.Apply(delta.Index, command)
+	}
+	catalog = catalog.Skip(reply.Upto)
+	if catalog.Index == before {
+		return nil
+	}
+	follower.catalog.Store(catalog)
+	if reply.Catalog != nil || len(reply.Deltas) > 0 {
+		follower.notify()
+	}
+	return nil
+}
+
+func (follower *Follower) notify() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	for _, watcher := range follower.watchers {
+		select {
+		case watcher <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Close ends the follower's task.
+func (follower *Follower) Close() {
+	close(follower.stop)
+	<-follower.done
+}
--- /dev/null
+++ b/internal/peer/trust/trust_test.go
@@ -0,0 +1,47 @@
+package trust
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestHandshake(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		client Secret
+		server Secret
+		ok     bool
+	}{
+		{"same secret", Secret("one"), Secret("one"), true},
+		{"other secret", Secret("one"), Secret("two"), false},
+		{"empty secret", Secret(nil), Secret("two"), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			accepted := make(chan error, 1)
+			go func() {
+				err := test.server.Accept(far, time.Minute)
+				if err != nil {
+					_ = far.Close()
+				}
+				accepted <- err
+			}()
+			err := test.client.Join(near, time.Minute)
+			is.Equal(err == nil, test.ok)
+			is.Equal(<-accepted == nil, test.ok)
+		})
+	}
+}
+
+func TestProofsDifferByPurposeAndSplit(t *testing.T) {
+	is := is.New(t)
+	secret := Secret("one")
+	proof := secret.Proof(PurposeHeartbeat, []byte("ab"), []byte("c"))
+	is.True(secret.Check(proof, PurposeHeartbeat, []byte("ab"), []byte("c")))
+	is.True(!secret.Check(proof, PurposeHeartbeat, []byte("a"), []byte("bc")))
+	is.True(!secret.Check(proof, PurposeHeartbeatBack, []byte("ab"), []byte("c")))
+}
