--- /dev/null
+++ b/internal/base/conf/conf.go
@@ -0,0 +1,309 @@
+// Package conf reads a host's settings from a TOML file and checks them.
+package conf
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("settings")
+
+// Settings are a host's settings, by section.
+type Settings struct {
+	Host     Host     `toml:"host"`
+	Caller   Caller   `toml:"caller"`
+	Operator Operator `toml:"operator"`
+	Peer     Peer     `toml:"peer"`
+	Control  Control  `toml:"control"`
+	Log      Log      `toml:"log"`
+}
+
+// Host names the host and its place.
+type Host struct {
+	Name       string `toml:"name"`
+	DataCentre string `toml:"dataCentre"`
+	DataFolder string `toml:"dataFolder"`
+}
+
+// Caller is where callers' requests come in.
+type Caller struct {
+	Address        netip.AddrPort `toml:"address"`
+	TLSCertificate string         `toml:"tlsCertificate"`
+	TLSKey         string         `toml:"tlsKey"`
+}
+
+// Operator is where operators, upstreams and the balancer's health check
+// come in.
+type Operator struct {
+	Address netip.AddrPort `toml:"address"`
+	Tokens  []Token        `toml:"tokens"`
+}
+
+// Token lets an operator in. Hash is the token's SHA-256 in hexadecimal.
+type Token struct {
+	Name string `toml:"name"`
+	Hash string `toml:"hash"`
+}
+
+// Peer is where other hosts connect.
+type Peer struct {
+	Address netip.AddrPort `toml:"address"`
+	// SecretFile holds the cluster secret.
+	SecretFile string `toml:"secretFile"`
+}
+
+// Control describes the control group.
+type Control struct {
+	// Enabled makes this host a control host.
+	Enabled bool           `toml:"enabled"`
+	Address netip.AddrPort `toml:"address"`
+	// Hosts are the control addresses of all control hosts.
+	Hosts []netip.AddrPort `toml:"hosts"`
+	// Heartbeats are the peer addresses of all control hosts.
+	Heartbeats []netip.AddrPort `toml:"heartbeats"`
+	// SnapshotEvery is the number of log entries between two snapshots.
+	SnapshotEvery uint64 `toml:"snapshotEvery"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
+}
+
+const (
+	minSecretLength = 16
+	hashBytes       = 32
+	defaultLevel    = "info"
+	defaultFormat   = "auto"
+)
+
+// Default returns the embedded settings: one host on loopback that is both
+// entry and control host.
+func Default() Settings {
+	control := netip.MustParseAddrPort("127.0.0.1:7403")
+	peer := netip.MustParseAddrPort("127.0.0.1:7402")
+	return Settings{
+		Host:     Host{Name: "local", DataCentre: "local", DataFolder: "damaskcrank-data"},
+		Caller:   Caller{Address: netip.MustParseAddrPort("127.0.0.1:7400")},
+		Operator: Operator{Address: netip.MustParseAddrPort("127.0.0.1:7401")},
+		Peer:     Peer{Address: peer},
+		Control: Control{
+			Enabled: true, Address: control,
+			Hosts: []netip.AddrPort{control}, Heartbeats: []netip.AddrPort{peer},
+		},
+		Log: Log{Level: defaultLevel, Format: defaultFormat},
+	}
+}
+
+// Load reads and checks a settings file. The error names file, line and field.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, Error.New("read: %w", err)
+	}
+	settings := Settings{Log: Log{Level: defaultLevel, Format: defaultFormat}}
+	decoder := toml.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, Error.New("%s", describe(path, err))
+	}
+	if fault := settings.check(); fault != nil {
+		return Settings{}, Error.New("%s:%d: %s", path, locate(data, fault.field), fault.Error())
+	}
+	return settings, nil
+}
+
+// describe turns a decoder's error into file, line, field and cause.
+func describe(path string, err error) string {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := unknown.Errors[0]
+		line, _ := first.Position()
+		return fmt.Sprintf("%s:%d: %s: there is no such field", path, line, strings.Join(first.Key(), "."))
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ := decode.Position()
+		return fmt.Sprintf("%s:%d: %s: %s", path, line, strings.Join(decode.Key(), "."), decode.Error())
+	}
+	return path + ": " + err.Error()
+}
+
+// fieldError is a setting that can't be used.
+type fieldError struct {
+	field string
+	cause string
+}
+
+// Error returns the field and the cause.
+func (fielderror *fieldError) Error() string { return fielderror.field + ": " + fielderror.cause }
+
+// check returns the first setting that can't be used.
+func (settings Settings) check() *fieldError {
+	for _, check := range []func() *fieldError{
+		settings.checkHost, settings.checkAddresses, settings.checkCaller, settings.checkOperator,
+		settings.checkSecret, settings.checkControl, settings.checkLog,
+	} {
+		if fault := check(); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+func (settings Settings) checkHost() *fieldError {
+	if settings.Host.Name == "" || strings.ContainsAny(settings.Host.Name, "#/ ") {
+		return &fieldError{"host.name", "must be set and hold no '#', '/' or space"}
+	}
+	if settings.Host.DataCentre == "" {
+		return &fieldError{"host.dataCentre", "must be set"}
+	}
+	return nil
+}
+
+func (settings Settings) checkAddresses() *fieldError {
+	for _, entry := range []struct {
+		field   string
+		address netip.AddrPort
+	}{
+		{"caller.address", settings.Caller.Address},
+		{"operator.address", settings.Operator.Address},
+		{"peer.address", settings.Peer.Address},
+	} {
+		if !usable(entry.address) {
+			return &fieldError{entry.field, "must be an IP address and a port, such as 10.0.0.1:7400"}
+		}
+	}
+	if settings.Peer.Address.Addr().IsUnspecified() {
+		return &fieldError{"peer.address", "other hosts connect to it, so it can't be unspecified"}
+	}
+	return nil
+}
+
+func usable(address netip.AddrPort) bool { return address.IsValid() && address.Port() != 0 }
+
+func (settings Settings) checkCaller() *fieldError {
+	caller := settings.Caller
+	if (caller.TLSCertificate == "") != (caller.TLSKey == "") {
+		return &fieldError{"caller.tlsCertificate", "certificate and key must be set together"}
+	}
+	for _, path := range []string{caller.TLSCertificate, caller.TLSKey} {
+		if path == "" {
+			continue
+		}
+		if _, err := os.Stat(path); err != nil {
+			return &fieldError{"caller.tlsCertificate", "file " + path + " can't be read"}
+		}
+	}
+	return nil
+}
+
+func (settings Settings) checkOperator() *fieldError {
+	for _, token := range settings.Operator.Tokens {
+		hash, err := hex.DecodeString(token.Hash)
+		if token.Name == "" || err != nil || len(hash) != hashBytes {
+			return &fieldError{"operator.tokens", "each token needs a name and a SHA-256 in hexadecimal"}
+		}
+	}
+	return nil
+}
+
+func (settings Settings) checkSecret() *fieldError {
+	if settings.Peer.SecretFile == "" {
+		return &fieldError{"peer.secretFile", "must be set"}
+	}
+	if _, err := ReadSecret(settings.Peer.SecretFile); err != nil {
+		return &fieldError{"peer.secretFile", err.Error()}
+	}
+	return nil
+}
+
+func (settings Settings) checkControl() *fieldError {
+	control := settings.Control
+	if len(control.Hosts) == 0 {
+		return &fieldError{"control.hosts", "must list the control hosts"}
+	}
+	if len(control.Heartbeats) != len(control.Hosts) {
+		return &fieldError{"control.heartbeats", "must list one peer address for each control host"}
+	}
+	for _, address := range append(append([]netip.AddrPort(nil), control.Hosts...), control.Heartbeats...) {
+		if !usable(address) || address.Addr().IsUnspecified() {
+			return &fieldError{"control.hosts", fmt.Sprintf("%s is no address that other hosts can reach", address)}
+		}
+	}
+	if !control.Enabled {
+		return nil
+	}
+	if !usable(control.Address) {
+		return &fieldError{"control.address", "must be an IP address and a port on a control host"}
+	}
+	folder := settings.Host.DataFolder
+	if folder == "" {
+		return &fieldError{"host.dataFolder", "must be set on a control host"}
+	}
+	info, err := os.Stat(folder)
+	if err != nil || !info.IsDir() {
+		return &fieldError{"host.dataFolder", "folder " + folder + " does not exist"}
+	}
+	return nil
+}
+
+func (settings Settings) checkLog() *fieldError {
+	switch settings.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		return &fieldError{"log.level", "must be debug, info, warn or error"}
+	}
+	switch settings.Log.Format {
+	case "auto", "text", "json":
+		return nil
+	default:
+		return &fieldError{"log.format", "must be auto, text or json"}
+	}
+}
+
+// ReadSecret reads a cluster secret.
+func ReadSecret(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.New("read %s: %w", filepath.Base(path), err)
+	}
+	secret := bytes.TrimSpace(data)
+	if len(secret) < minSecretLength {
+		return nil, Error.New("the secret has %d bytes, fewer than %d", len(secret), minSecretLength)
+	}
+	return secret, nil
+}
+
+// locate returns the line of a field such as "host.name", or of its section, or
+// 1 where neither is in the file.
+func locate(data []byte, field string) int {
+	wantedSection, wantedName, _ := strings.Cut(field, ".")
+	section, line := "", 1
+	for number, text := range strings.Split(string(data), "\n") {
+		text = strings.TrimSpace(text)
+		if strings.HasPrefix(text, "[") {
+			section = strings.Trim(text, "[] ")
+			if section == wantedSection {
+				line = number + 1
+			}
+			continue
+		}
+		name, _, ok := strings.Cut(text, "=")
+		if ok && section == wantedSection && strings.TrimSpace(name) == wantedName {
+			return number + 1
+		}
+	}
+	return line
+}
--- /dev/null
+++ b/internal/base/logs/logs.go
@@ -0,0 +1,47 @@
+// Package logs sets up the structured log: text on a terminal, JSON elsewhere.
+package logs
+
+import (
+	"io"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("logs")
+
+// Format is how log lines are written.
+type Format string
+
+// The formats of log lines.
+const (
+	FormatAuto Format = "auto"
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// New returns a logger that writes to the file.
+func New(file *os.File, level string, format Format) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, Error.New("log level %q: %w", level, err)
+	}
+	return &log.Logger{Level: parsed, Handler: handler(file, file, format)}, nil
+}
+
+func handler(writer io.Writer, file *os.File, format Format) log.Handler {
+	if format == FormatJSON || format != FormatText && !terminal(file) {
+		return json.New(writer)
+	}
+	return text.New(writer)
+}
+
+// terminal tells whether the file is a character device.
+func terminal(file *os.File) bool {
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,325 @@
+// Package fleet runs several hosts and stand-in upstreams in one process, on
+// loopback addresses of their own, for the demo, for experiments and for tests
+// of the whole path.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/base/conf"
+	"damaskcrank.example/damaskcrank/internal/bench/stand"
+	"damaskcrank.example/damaskcrank/internal/entry/front"
+	"damaskcrank.example/damaskcrank/internal/fleet/host"
+	"damaskcrank.example/damaskcrank/internal/peer/trust"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("fleet")
+
+const (
+	callerPort     = 7400
+	operatorPort   = 7401
+	peerPort       = 7402
+	controlPort    = 7403
+	upstreamPort   = 8000
+	firstUpstream  = 100
+	requestTimeout = 15 * time.Second
+	readyPoll      = 10 * time.Millisecond
+	folderMode     = 0o700
+	prefixTries    = 50
+	operatorToken  = "fleet-operator"
+)
+
+// Options set up a Fleet.
+type Options struct {
+	// Hosts is the number of hosts; the first Control of them are control hosts.
+	Hosts   int
+	Control int
+	// DataCentres are given to hosts in turn.
+	DataCentres []string
+	// Folder holds the hosts' data folders.
+	Folder string
+	Log    log.Interface
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	options   Options
+	prefix    string
+	secret    trust.Secret
+	Hosts     []*host.Host
+	Upstreams []*stand.Upstream
+	Journal   *stand.Journal
+	client    *http.Client
+}
+
+// Start starts the hosts and waits until all hold their leases.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	prefix, err := freePrefix()
+	if err != nil {
+		return nil, err
+	}
+	fleet := &Fleet{
+		options: options, prefix: prefix, secret: trust.Secret("a fleet's secret on loopback"),
+		Hosts: make([]*host.Host, options.Hosts), Journal: &stand.Journal{},
+		client: &http.Client{Timeout: requestTimeout},
+	}
+	for number := range options.Hosts {
+		if err := fleet.StartHost(number); err != nil {
+			fleet.Close()
+			return nil, err
+		}
+	}
+	if err := fleet.AwaitReady(ctx); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+// freePrefix finds a loopback network that no other fleet uses.
+func freePrefix() (string, error) {
+	for range prefixTries {
+		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)) //nolint:gosec // only avoids collisions
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s1:%d", prefix, callerPort))
+		if err == nil {
+			_ = listener.Close()
+			return prefix, nil
+		}
+	}
+	return "", Error.New("no loopback network is free")
+}
+
+func (fleet *Fleet) address(number, port int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("%s%d:%d", fleet.prefix, number, port))
+}
+
+// CallerAddress returns where a host takes callers.
+func (fleet *Fleet) CallerAddress(number int) netip.AddrPort {
+	return fleet.address(number+1, callerPort)
+}
+
+// OperatorAddress returns where a host takes operators.
+func (fleet *Fleet) OperatorAddress(number int) netip.AddrPort {
+	return fleet.address(number+1, operatorPort)
+}
+
+// ControlAddress returns where a host takes control connections.
+func (fleet *Fleet) ControlAddress(number int) netip.AddrPort {
+	return fleet.address(number+1, controlPort)
+}
+
+// Token returns the operator's token.
+func (fleet *Fleet) Token() string { return operatorToken }
+
+// DataFolder returns a host's data folder.
+func (fleet *Fleet) DataFolder(number int) string {
+	return filepath.Join(fleet.options.Folder, fmt.Sprintf("host-%d", number))
+}
+
+func (fleet *Fleet) settings(number int) conf.Settings {
+	settings := conf.Settings{
+		Host: conf.Host{
+			Name:       fmt.Sprintf("host-%d", number),
+			DataCentre: fleet.options.DataCentres[number%len(fleet.options.DataCentres)],
+			DataFolder: fleet.DataFolder(number),
+		},
+		Caller: conf.Caller{Address: fleet.CallerAddress(number)},
+		Operator: conf.Operator{
+			Address: fleet.OperatorAddress(number),
+			Tokens:  []conf.Token{{Name: "fleet", Hash: front.HashSecret(operatorToken)}},
+		},
+		Peer:    conf.Peer{Address: fleet.address(number+1, peerPort)},
+		Control: conf.Control{Enabled: number < fleet.options.Control, Address: fleet.address(number+1, controlPort)},
+	}
+	for control := range fleet.options.Control {
+		settings.Control.Hosts = append(settings.Control.Hosts, fleet.address(control+1, controlPort))
+		settings.Control.Heartbeats = append(settings.Control.Heartbeats, fleet.address(control+1, peerPort))
+	}
+	return settings
+}
+
+// StartHost starts a host, or starts it again after it was stopped.
+func (fleet *Fleet) StartHost(number int) error {
+	settings := fleet.settings(number)
+	if err := os.MkdirAll(settings.Host.DataFolder, folderMode); err != nil {
+		return Error.New("create data folder: %w", err)
+	}
+	started, err := host.Start(host.Options{
+		Settings: settings, Secret: fleet.secret, Clock: clockwork.NewRealClock(),
+		Log: fleet.options.Log.WithField("host", settings.Host.Name),
+	})
+	if err != nil {
+		return Error.New("start %s: %w", settings.Host.Name, err)
+	}
+	fleet.Hosts[number] = started
+	return nil
+}
+
+// KillHost ends a host as a crash does.
+func (fleet *Fleet) KillHost(number int) {
+	if fleet.Hosts[number] != nil {
+		fleet.Hosts[number].Kill()
+		fleet.Hosts[number] = nil
+	}
+}
+
+// StopHost shuts a host down gracefully.
+func (fleet *Fleet) StopHost(ctx context.Context, number int) error {
+	stopped := fleet.Hosts[number]
+	fleet.Hosts[number] = nil
+	if err := stopped.Stop(ctx); err != nil {
+		return Error.New("stop host %d: %w", number, err)
+	}
+	return nil
+}
+
+// Leader returns the number of the control leader, or -1.
+func (fleet *Fleet) Leader() int {
+	for number, running := range fleet.Hosts {
+		if running != nil && running.Node() != nil && running.Node().Leads() {
+			return number
+		}
+	}
+	return -1
+}
+
+// AwaitReady waits until all running hosts hold their leases.
+func (fleet *Fleet) AwaitReady(ctx context.Context) error {
+	return fleet.Await(ctx, "all hosts to hold their leases", func() bool {
+		for _, running := range fleet.Hosts {
+			if running != nil && !running.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Await waits until a condition holds.
+func (fleet *Fleet) Await(ctx context.Context, what string, condition func() bool) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return Error.New("wait for %s: %w", what, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// StartUpstream starts a stand-in that announces itself to all hosts in turn.
+func (fleet *Fleet) StartUpstream(options stand.Options) (*stand.Upstream, error) {
+	options.Address = fleet.address(firstUpstream+len(fleet.Upstreams), upstreamPort)
+	options.Seed = uint64(len(fleet.Upstreams))
+	for number := range fleet.options.Hosts {
+		options.Operators = append(options.Operators, fleet.OperatorAddress(number))
+	}
+	upstream, err := stand.Start(options, fleet.Journal)
+	if err != nil {
+		return nil, Error.New("start upstream %s: %w", options.Name, err)
+	}
+	fleet.Upstreams = append(fleet.Upstreams, upstream)
+	return upstream, nil
+}
+
+// RestartUpstream starts a new process in an upstream's place.
+func (fleet *Fleet) RestartUpstream(number int, options stand.Options) error {
+	fleet.Upstreams[number].Stop()
+	options.Address = fleet.Upstreams[number].Address()
+	for host := range fleet.options.Hosts {
+		options.Operators = append(options.Operators, fleet.OperatorAddress(host))
+	}
+	upstream, err := stand.Start(options, fleet.Journal)
+	if err != nil {
+		return Error.New("restart upstream %s: %w", options.Name, err)
+	}
+	fleet.Upstreams[number] = upstream
+	return nil
+}
+
+// Operate makes an operator's request to a host and decodes the answer.
+func (fleet *Fleet) Operate(ctx context.Context, number int, method, path, contentType string, body []byte, answer any) error {
+	url := "http://" + fleet.OperatorAddress(number).String() + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return Error.New("build request: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	request.Header.Set("Content-Type", contentType)
+	response, err := fleet.client.Do(request)
+	if err != nil {
+		return Error.New("%s %s: %w", method, path, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Error.New("%s %s: %w", method, path, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Error.New("%s %s: %s: %s", method, path, response.Status, strings.TrimSpace(string(data)))
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return Error.New("%s %s: %w", method, path, err)
+	}
+	return nil
+}
+
+// Apply puts a TOML document's records in force.
+func (fleet *Fleet) Apply(ctx context.Context, number int, document string) error {
+	return fleet.Operate(ctx, number, http.MethodPost, "/api/v1/records", "application/toml", []byte(document), nil)
+}
+
+// AwaitOwners waits until every partition of the service has an owner and no
+// move is open.
+func (fleet *Fleet) AwaitOwners(ctx context.Context, service string) error {
+	return fleet.Await(ctx, "owners of all keys of "+service, func() bool {
+		for _, running := range fleet.Hosts {
+			if running == nil {
+				continue
+			}
+			table, ok := running.Catalog().Tables[service]
+			if !ok {
+				return false
+			}
+			for _, owner := range table.Partitions {
+				if owner.Upstream == "" || owner.MovingTo != "" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// Close ends everything.
+func (fleet *Fleet) Close() {
+	for _, upstream := range fleet.Upstreams {
+		upstream.Stop()
+	}
+	for number := range fleet.Hosts {
+		fleet.KillHost(number)
+	}
+	fleet.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/bench/fleet/fleet_test.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/bench/stand"
+	"damaskcrank.example/damaskcrank/internal/entry/front"
+)
+
+// document holds records for both kinds of services.
+var document = fmt.Sprintf(`
+[[workspace]]
+name = "amman-calls"
+schema = 1
+version = 1
+
+[[callerKey]]
+name = "k1"
+schema = 1
+version = 1
+workspace = "amman-calls"
+hash = %q
+
+[[rate]]
+name = "amman-calls"
+schema = 2
+version = 1
+workspace = "amman-calls"
+requests = 500
+burst = 100
+
+[[service]]
+name = "fieldjobs"
+schema = 1
+version = 1
+partitions = 32
+timeoutSeconds = 5
+
+[[service]]
+name = "dispatchdesk"
+schema = 2
+version = 1
+timeout = "5s"
+`, front.HashSecret("open"))
+
+// startSmall starts four hosts, three of them control hosts, and upstreams of
+// both services.
+func startSmall(t *testing.T) (*Fleet, context.Context) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	fleet, err := Start(ctx, Options{
+		Hosts: 4, Control: 3, DataCentres: []string{"amman-north", "zarqa", "madaba"}, Folder: t.TempDir(),
+		Log: &log.Logger{Handler: discard.New()},
+	})
+	is.NoErr(err)
+	t.Cleanup(fleet.Close)
+	is.NoErr(fleet.Apply(ctx, 1, document))
+	for number := range 3 {
+		_, err := fleet.StartUpstream(stand.Options{
+			Service: "fieldjobs", Name: fmt.Sprintf("jobs-%d", number), DataCentre: "zarqa", Slots: 2,
+			Work: 2 * time.Millisecond, ColdRate: 200, ColdRamp: time.Second, Keyed: true, KeyHeader: "Resource-Key",
+			ChecksToken: true,
+		})
+		is.NoErr(err)
+	}
+	for number := range 2 {
+		_, err := fleet.StartUpstream(stand.Options{
+			Service: "dispatchdesk", Name: fmt.Sprintf("desk-%d", number), DataCentre: "zarqa", Slots: 2,
+			Work: 2 * time.Millisecond, ColdRate: 200, ColdRamp: time.Second,
+		})
+		is.NoErr(err)
+	}
+	is.NoErr(fleet.AwaitOwners(ctx, "fieldjobs"))
+	return fleet, ctx
+}
+
+// send makes a caller's request and returns its status and body.
+func send(ctx context.Context, fleet *Fleet, number int, method, path string, header map[string]string) (int, string, error) {
+	url := "http://" + fleet.CallerAddress(number).String() + path
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set("Authorization", "Bearer "+front.FormatKey("k1", "open"))
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// TestWholePath sends requests for both services through every host, and
+// checks that a resend of a write replays its answer.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	fleet, ctx := startSmall(t)
+	for number := range fleet.Hosts {
+		status, body, err := send(ctx, fleet, number, http.MethodGet, "/dispatchdesk/prices", nil)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.True(strings.Contains(body, `"workspace":"amman-calls"`))
+		for key := range 5 {
+			status, body, err := send(ctx, fleet, number, http.MethodPost, "/fieldjobs/book", map[string]string{
+				"Resource-Key": fmt.Sprintf("van-%d", key), "Idempotency-Key": fmt.Sprintf("booking-%d", key),
+			})
+			is.NoErr(err)
+			t.Log(number, key, status, body)
+			is.Equal(status, http.StatusOK)
+			is.True(strings.Contains(body, fmt.Sprintf(`"key":"van-%d"`, key)))
+		}
+	}
+	for key := range 5 {
+		is.Equal(fleet.Journal.Runs(fmt.Sprintf("booking-%d", key)), 1) // four arrivals, one run
+	}
+	for _, upstream := range fleet.Upstreams {
+		is.Equal(upstream.Breaches(), stand.Breaches{})
+	}
+}
--- a/internal/control/state/catalog.go
+++ b/internal/control/state/catalog.go
@@ -22,6 +22,7 @@
 	Sessions   map[string]Session
 	Shards     map[ShardID]Shard
 	Upstreams  map[UpstreamID]Upstream
+	Losses     map[UpstreamID]Loss
 	Tables     map[string]Table
 	Quarantine map[string]Suspect
 
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -64,6 +64,7 @@
 	Shard      ShardID
 	ShardEpoch uint64
 	Reason     string
+	At         time.Time
 }
 
 // SlotMove gives a slot to an upstream. Token is the slot's present token. A
--- a/internal/control/state/fleet.go
+++ b/internal/control/state/fleet.go
@@ -104,6 +104,7 @@
 		return Result{Index: index, Outcome: OutcomeStale}
 	}
 	catalog.Upstreams = without(catalog.Upstreams, command.ID)
+	catalog.noteLoss(upstream, command.At)
 	table, ok := catalog.Tables[command.ID.Service]
 	if !ok {
 		return Result{Index: index, Outcome: OutcomeDone}
@@ -123,6 +124,16 @@
 	return Result{Index: index, Outcome: OutcomeDone}
 }
 
+// noteLoss counts how often an upstream was lost lately.
+func (catalog *Catalog) noteLoss(upstream Upstream, at time.Time) {
+	loss := catalog.Losses[upstream.ID]
+	if at.Sub(loss.At) > lossMemory {
+		loss.Count = 0
+	}
+	loss = Loss{Incarnation: upstream.Incarnation, At: at, Count: loss.Count + 1}
+	catalog.Losses = with(catalog.Losses, upstream.ID, loss)
+}
+
 // passOn returns the owner that follows one that let go. The token always
 // grows, so that the old one is fenced off.
 func (catalog *Catalog) passOn(index uint64, service string, owner Owner) Owner {
--- a/internal/control/state/types.go
+++ b/internal/control/state/types.go
@@ -104,6 +104,8 @@
 	ColdRate float64
 	ColdRamp time.Duration
 	Epoch    uint64
+	// SeenAt is when the announcement came in; the warm-up counts from it.
+	SeenAt time.Time
 	// ChecksToken tells whether it refuses requests with an old token.
 	ChecksToken bool
 }
@@ -111,9 +113,34 @@
 // Same tells whether two announcements describe the same process.
 func (upstream Upstream) Same(other Upstream) bool {
 	upstream.Epoch = other.Epoch
+	upstream.SeenAt = other.SeenAt
 	return upstream == other
 }
 
+// Loss remembers that an upstream stopped answering, so that one which comes
+// and goes is let back in more and more slowly.
+type Loss struct {
+	Incarnation string
+	At          time.Time
+	Count       int
+}
+
+const (
+	firstHold = 2 * time.Second
+	maxHold   = time.Minute
+	// lossMemory is the time without a loss after which the count starts anew.
+	lossMemory = 5 * time.Minute
+)
+
+// Until returns when the upstream may be let back in.
+func (loss Loss) Until() time.Time {
+	hold := firstHold
+	for range loss.Count - 1 {
+		hold = min(hold*2, maxHold)
+	}
+	return loss.At.Add(hold)
+}
+
 // Owner says which upstream owns a partition or a single key. The token is the
 // log index that gave it, and fences requests and grants.
 type Owner struct {
--- a/internal/dispatch/calls/calls.go
+++ b/internal/dispatch/calls/calls.go
@@ -26,6 +26,7 @@
 	KindBorrow  = "borrow"
 	KindLend    = "lend"
 	KindLoad    = "load"
+	KindStatus  = "status"
 )
 
 // Request is a caller's request on its way to an upstream.
--- a/internal/dispatch/queue/queue.go
+++ b/internal/dispatch/queue/queue.go
@@ -214,6 +214,15 @@
 	}
 }
 
+// Began counts a request of the workspace that runs without having waited.
+func (queue *Queue[T]) Began(workspace string) {
+	line := queue.find(workspace)
+	if line == nil {
+		line = queue.line(workspace, 1)
+	}
+	line.running++
+}
+
 // Done tells that a request of the workspace that was popped has ended.
 func (queue *Queue[T]) Done(workspace string) {
 	line := queue.find(workspace)
@@ -254,3 +263,13 @@
 	})
 	queue.turn = 0
 }
+
+// Longest returns the workspace with the most requests waiting.
+func (queue *Queue[T]) Longest() (workspace string, waiting int) {
+	for _, line := range queue.lines {
+		if len(line.items) > waiting {
+			workspace, waiting = line.workspace, len(line.items)
+		}
+	}
+	return workspace, waiting
+}
--- /dev/null
+++ b/internal/entry/front/problem.go
@@ -0,0 +1,72 @@
+package front
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
+)
+
+// Problem is the body of a refusal, a problem document of RFC 9457.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Reason is a word for programs.
+	Reason calls.Reason `json:"reason"`
+	// Ran says whether the request ran: notRun, unknown or ran.
+	Ran       calls.Ran `json:"ran"`
+	RequestID string    `json:"requestId,omitempty"`
+}
+
+// statusOf returns the HTTP status that fits a refusal.
+func statusOf(refused calls.Refused) int {
+	switch refused.Reason {
+	case calls.ReasonNoKey, calls.ReasonBadKey:
+		return http.StatusUnauthorized
+	case calls.ReasonUnknownService:
+		return http.StatusNotFound
+	case calls.ReasonNoResourceKey, calls.ReasonBadRequest:
+		return http.StatusBadRequest
+	case calls.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case calls.ReasonOverRate:
+		return http.StatusTooManyRequests
+	case calls.ReasonKeyReused, calls.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	case calls.ReasonStillRunning, calls.ReasonAnswerOmitted:
+		return http.StatusConflict
+	case calls.ReasonOutcomeUnknown, calls.ReasonUpstreamLost, calls.ReasonLinkLost, calls.ReasonAnswerCut,
+		calls.ReasonAnswerTooLarge, calls.ReasonAnswerUnframed:
+		return http.StatusBadGateway
+	case calls.ReasonDeadlinePassed, calls.ReasonUpstreamTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// writeProblem writes a refusal.
+func writeProblem(writer http.ResponseWriter, refused calls.Refused, requestID string) {
+	status := statusOf(refused)
+	header := writer.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Cache-Control", "no-store")
+	if refused.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refused.RetryAfter.Seconds()))))
+	}
+	body, err := json.Marshal(Problem{
+		Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: refused.Detail,
+		Reason: refused.Reason, Ran: refused.Ran, RequestID: requestID,
+	})
+	if err != nil {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body)
+}
--- /dev/null
+++ b/internal/entry/quota/quota_test.go
@@ -0,0 +1,142 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// spent is a token that a borrower used.
+type spent struct{ at time.Time }
+
+// borrowerModel holds loans as an entry host does: it may spend a loan's tokens
+// until the TTL has passed since it asked.
+type borrowerModel struct {
+	host  string
+	loans []batch
+}
+
+// TestNeverOverRate drives banks and borrowers at random, through lost answers,
+// lost reports, expiry, takeovers and rate changes, and then checks every
+// window between two spent tokens.
+func TestNeverOverRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		rate := float64(rapid.IntRange(1, 200).Draw(t, "rate"))
+		burst := float64(rapid.IntRange(1, 60).Draw(t, "burst"))
+		bucket := newBucket(rate, burst, now)
+		borrowers := []*borrowerModel{{host: "a"}, {host: "b"}, {host: "c"}}
+		var log []spent
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			borrower := rapid.SampledFrom(borrowers).Draw(t, "borrower")
+			switch action := rapid.IntRange(0, 19).Draw(t, "action"); {
+			case action < 6:
+				now = now.Add(time.Duration(rapid.IntRange(1, 80).Draw(t, "milliseconds")) * time.Millisecond)
+			case action < 11:
+				lost := rapid.IntRange(0, 9).Draw(t, "lost") == 0
+				given, _ := bucket.lend(borrower.host, rapid.IntRange(1, 30).Draw(t, "want"), now)
+				if given.unspent > 0 && !lost {
+					borrower.loans = append(borrower.loans, batch{loan: given.id, count: int(given.unspent), expires: now.Add(LoanTTL)})
+				}
+			case action < 17:
+				log = append(log, borrower.spendAll(now, rapid.IntRange(1, 20).Draw(t, "spend"))...)
+			case action < 19:
+				returned := rapid.Bool().Draw(t, "returned")
+				for _, loan := range borrower.loans {
+					bucket.advance(now)
+					bucket.report(borrower.host, loan.loan, float64(loan.count))
+					if returned {
+						bucket.giveBack(borrower.host, loan.loan, float64(loan.count))
+					}
+				}
+				if returned {
+					borrower.loans = nil
+				}
+			default:
+				bucket = newBucket(rate, burst, now) // another host takes over
+			}
+		}
+		checkWindows(t, log, rate, burst)
+	})
+}
+
+func (borrowermodel *borrowerModel) spendAll(now time.Time, count int) []spent {
+	var used []spent
+	for position := range borrowermodel.loans {
+		loan := &borrowermodel.loans[position]
+		for loan.count > 0 && count > 0 && now.Before(loan.expires) {
+			loan.count--
+			count--
+			used = append(used, spent{at: now})
+		}
+	}
+	return used
+}
+
+func checkWindows(t *rapid.T, log []spent, rate, burst float64) {
+	for first := range log {
+		for last := first; last < len(log); last++ {
+			window := log[last].at.Sub(log[first].at).Seconds()
+			allowed := rate*window + burst
+			if float64(last-first+1) > math.Floor(allowed+1e-6) {
+				t.Fatalf("%d tokens in %.3f s, allowed %.3f", last-first+1, window, allowed)
+			}
+		}
+	}
+}
+
+// TestSteadyUseIsNotRefused spends at exactly the rate: nothing is refused once
+// the first token was earned, since reports free lent tokens at once.
+func TestSteadyUseIsNotRefused(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		rate  float64
+		burst float64
+	}{
+		{"large burst", 100, 50},
+		{"small burst", 100, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			bucket := newBucket(test.rate, test.burst, now)
+			now = now.Add(2 * time.Second)
+			refused := 0
+			for range 500 {
+				now = now.Add(time.Duration(float64(time.Second) / test.rate))
+				given, _ := bucket.lend("a", 1, now)
+				if given.unspent < 1 {
+					refused++
+					continue
+				}
+				bucket.report("a", given.id, 0)
+			}
+			is.Equal(refused, 0)
+		})
+	}
+}
+
+func TestTakeoverStartsEmpty(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	bucket := newBucket(10, 20, now)
+	given, wait := bucket.lend("a", 5, now)
+	is.Equal(given.unspent, 0.0)
+	is.True(wait > 0)
+	given, _ = bucket.lend("a", 50, now.Add(10*time.Second))
+	is.Equal(given.unspent, 10.0) // half of the burst may be lent
+}
+
+func TestRateChangeIsInForceAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	bucket := newBucket(100, 100, now)
+	now = now.Add(10 * time.Second)
+	bucket.advance(now)
+	bucket.setRate(1, 2, now)
+	given, _ := bucket.lend("a", 50, now)
+	is.Equal(given.unspent, 1.0)
+}
--- /dev/null
+++ b/internal/oper/admin/fleet.go
@@ -0,0 +1,246 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/control/group"
+	"damaskcrank.example/damaskcrank/internal/control/raft"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
+	"damaskcrank.example/damaskcrank/internal/dispatch/upstr"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
+)
+
+const (
+	maxAnnouncement = 16 << 10
+	announceTimeout = 2 * time.Second
+	memberTimeout   = 30 * time.Second
+	memberPoll      = 50 * time.Millisecond
+)
+
+// announce takes an upstream's announcement. Only one that says something new
+// is committed; the rest goes to the primary as a load report.
+func (admin *Admin) announce(writer http.ResponseWriter, request *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(request.Body, maxAnnouncement))
+	if err != nil {
+		writeJSON(writer, http.StatusBadRequest, ErrorReply{Error: "the announcement could not be read"})
+		return
+	}
+	var announcement upstr.Announcement
+	if err := json.Unmarshal(data, &announcement); err != nil {
+		writeJSON(writer, http.StatusBadRequest, ErrorReply{Error: "the announcement is no JSON: " + err.Error()})
+		return
+	}
+	if err := admin.takeAnnouncement(request.Context(), announcement); err != nil {
+		writeJSON(writer, http.StatusUnprocessableEntity, ErrorReply{Error: err.Error()})
+		return
+	}
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (admin *Admin) takeAnnouncement(ctx context.Context, announcement upstr.Announcement) error {
+	upstream, err := announcement.Upstream()
+	if err != nil {
+		return Error.New("announcement: %w", err)
+	}
+	catalog := admin.Follower.Catalog()
+	if _, ok := catalog.Service(upstream.ID.Service); !ok {
+		return Error.New("service %s does not exist", upstream.ID.Service)
+	}
+	present, known := catalog.Upstreams[upstream.ID]
+	if known && present.Same(upstream) {
+		admin.reportLoad(ctx, catalog, announcement)
+		return nil
+	}
+	now := admin.Clock.Now()
+	loss, lost := catalog.Losses[upstream.ID]
+	if lost && loss.Incarnation == upstream.Incarnation && now.Before(loss.Until()) {
+		return Error.New("upstream %s stopped answering a moment ago and is let in again at %s", upstream.ID, loss.Until())
+	}
+	upstream.SeenAt = now
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if _, err := admin.Control.Propose(ctx, state.SeeUpstream{Upstream: upstream}); err != nil {
+		return Error.New("enter upstream: %w", err)
+	}
+	admin.Log.Infof(logPrefix+"upstream %s announced itself at %s", upstream.ID, upstream.Address)
+	return nil
+}
+
+// reportLoad passes a load report on to the upstream's primary.
+func (admin *Admin) reportLoad(ctx context.Context, catalog *state.Catalog, announcement upstr.Announcement) {
+	held, ok := catalog.Shards[state.DispatchShard(announcement.Service, announcement.Name)]
+	if !ok {
+		held = catalog.Shards[state.DispatchShard(announcement.Service, "")]
+	}
+	if held.Host == admin.Host {
+		admin.Duties.Load(announcement)
+		return
+	}
+	session, ok := catalog.Sessions[held.Host]
+	if !ok {
+		return
+	}
+	head, err := codec.Marshal(announcement)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	_, _ = admin.Links.Call(ctx, session.Host.Peer, links.Payload{Kind: calls.KindLoad, Head: head})
+}
+
+// LinkLoad takes a load report that another host passed on.
+func (admin *Admin) LinkLoad(payload links.Payload) (links.Payload, error) {
+	var announcement upstr.Announcement
+	if err := codec.Unmarshal(payload.Head, &announcement); err != nil {
+		return links.Payload{}, Error.New("decode load report: %w", err)
+	}
+	admin.Duties.Load(announcement)
+	return links.Payload{Kind: calls.KindLoad, Head: codec.Raw{0xf6}}, nil
+}
+
+// MemberArgs asks for a change of the control group.
+type MemberArgs struct {
+	// Action is add, remove or replace.
+	Action string `json:"action"`
+	// Address is the control address of the host to add.
+	Address netip.AddrPort `json:"address"`
+	// ID is the member to remove.
+	ID raft.MemberID `json:"id"`
+}
+
+// MemberReply tells which members the group has after the change.
+type MemberReply struct {
+	Members []group.MemberStatus `json:"members"`
+}
+
+// changeMember adds, removes or replaces a control host. It returns once a new
+// voter has the whole log and counts, since another may be lost right after.
+func (admin *Admin) changeMember(operator string, request *http.Request) (any, error) {
+	var args MemberArgs
+	if err := json.NewDecoder(io.LimitReader(request.Body, maxAnnouncement)).Decode(&args); err != nil {
+		return nil, fail(http.StatusBadRequest, "read request: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), memberTimeout)
+	defer cancel()
+	if args.Action != "add" && args.Action != "remove" && args.Action != "replace" {
+		return nil, fail(http.StatusBadRequest, "action %q is none of add, remove, replace", args.Action)
+	}
+	if args.Action != "remove" {
+		if err := admin.addMember(ctx, args.Address); err != nil {
+			return nil, fail(http.StatusServiceUnavailable, "%w", err)
+		}
+	}
+	if args.Action != "add" {
+		if err := admin.repeatChange(ctx, group.ChangeArgs{Kind: group.ChangeRemove, Member: raft.Member{ID: args.ID}}); err != nil {
+			return nil, fail(http.StatusServiceUnavailable, "remove %s: %w", args.ID, err)
+		}
+	}
+	admin.Log.WithField("operator", operator).Infof(logPrefix+"control members: %s", args.Action)
+	status, err := admin.Control.LeaderStatus(ctx)
+	if err != nil {
+		return nil, fail(http.StatusServiceUnavailable, "%w", err)
+	}
+	return MemberReply{Members: status.Members}, nil
+}
+
+func (admin *Admin) addMember(ctx context.Context, address netip.AddrPort) error {
+	if !address.IsValid() {
+		return Error.New("the address of the new control host is missing")
+	}
+	hello, err := admin.Control.Hello(address)
+	if err != nil {
+		return Error.New("greet %s: %w", address, err)
+	}
+	member := raft.Member{ID: hello.ID, Address: address}
+	if err := admin.repeatChange(ctx, group.ChangeArgs{Kind: group.ChangeAdd, Member: member}); err != nil {
+		return Error.New("add %s: %w", member.ID, err)
+	}
+	if err := admin.repeatChange(ctx, group.ChangeArgs{Kind: group.ChangePromote, Member: member}); err != nil {
+		return Error.New("promote %s: %w", member.ID, err)
+	}
+	return nil
+}
+
+// repeatChange tries a change until it is part of the membership.
+func (admin *Admin) repeatChange(ctx context.Context, args group.ChangeArgs) error {
+	for {
+		_, err := admin.Control.Change(ctx, args)
+		if status, statusErr := admin.Control.LeaderStatus(ctx); statusErr == nil && changeDone(status, args) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("%w: %w", ctx.Err(), err)
+		case <-admin.Clock.After(memberPoll):
+		}
+	}
+}
+
+// changeDone tells whether the membership shows the change and, for a new
+// voter, whether it holds all that is committed.
+func changeDone(status group.Status, args group.ChangeArgs) bool {
+	for _, member := range status.Members {
+		if member.ID != args.Member.ID {
+			continue
+		}
+		switch args.Kind {
+		case group.ChangeAdd:
+			return true
+		case group.ChangePromote:
+			return member.Voter && member.Match >= status.Commit
+		default:
+			return false
+		}
+	}
+	return args.Kind == group.ChangeRemove
+}
+
+// MoveArgs asks to give a single key to an upstream.
+type MoveArgs struct {
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	To      string `json:"to"`
+}
+
+// moveKey gives a single key an owner of its own and returns once it has moved.
+func (admin *Admin) moveKey(operator string, request *http.Request) (any, error) {
+	var args MoveArgs
+	if err := json.NewDecoder(io.LimitReader(request.Body, maxAnnouncement)).Decode(&args); err != nil {
+		return nil, fail(http.StatusBadRequest, "read request: %w", err)
+	}
+	catalog := admin.Follower.Catalog()
+	table, ok := catalog.Tables[args.Service]
+	if !ok || args.Key == "" {
+		return nil, fail(http.StatusNotFound, "service %s has no key %q to move", args.Service, args.Key)
+	}
+	if _, ok := catalog.Upstreams[state.UpstreamID{Service: args.Service, Name: args.To}]; !ok {
+		return nil, fail(http.StatusNotFound, "upstream %s/%s does not exist", args.Service, args.To)
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), applyTimeout)
+	defer cancel()
+	slot := state.Slot{Key: args.Key}
+	move := state.SlotMove{Slot: slot, Token: table.Keys[args.Key].Token, To: args.To}
+	if _, err := admin.Control.Propose(ctx, state.MoveSlots{Service: args.Service, Moves: []state.SlotMove{move}}); err != nil {
+		return nil, fail(http.StatusServiceUnavailable, "move key: %w", err)
+	}
+	admin.Log.WithField("operator", operator).Infof(logPrefix+"key %q of %s moves to %s", args.Key, args.Service, args.To)
+	for {
+		owner, _ := admin.Follower.Catalog().Tables[args.Service].Get(slot)
+		if owner.Upstream == args.To && owner.MovingTo == "" {
+			return owner, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fail(http.StatusServiceUnavailable, "the key has not moved yet: %w", ctx.Err())
+		case <-admin.Clock.After(forcePoll):
+		}
+	}
+}
--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -13,10 +13,8 @@
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
 )
 
-const (
-	maxPending  = 8192
-	redialPause = 50 * time.Millisecond
-)
+// maxPending bounds the requests that wait on one link.
+const maxPending = 8192
 
 var (
 	// ErrNotSent says that a request never left this host.
@@ -300,6 +298,19 @@
 	return nil
 }
 
+// Drop closes the link to a host that has left the fleet, so that requests
+// which wait for it fail at once.
+func (client *Client) Drop(address netip.AddrPort) {
+	client.mutex.Lock()
+	link, ok := client.links[address]
+	client.mutex.Unlock()
+	if !ok {
+		return
+	}
+	link.end()
+	_ = link.conn.Close()
+}
+
 // Close ends all links.
 func (client *Client) Close() error {
 	if err := client.engine.Stop(); err != nil {
