--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -121,7 +121,6 @@
 				"Resource-Key": fmt.Sprintf("van-%d", key), "Idempotency-Key": fmt.Sprintf("booking-%d", key),
 			})
 			is.NoErr(err)
-			t.Log(number, key, status, body)
 			is.Equal(status, http.StatusOK)
 			is.True(strings.Contains(body, fmt.Sprintf(`"key":"van-%d"`, key)))
 		}
--- a/internal/control/spec/spec.go
+++ b/internal/control/spec/spec.go
@@ -66,7 +66,7 @@
 	Version uint64 `json:"version"`
 	Deleted bool   `json:"deleted,omitempty"`
 	// Body is the record's fields as canonical JSON.
-	Body []byte `json:"-"`
+	Body []byte `cbor:"body" json:"-"`
 }
 
 // ID returns the record's ID.
--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return Payload{}, errors.Join(ErrNotSent, err)
 	}
-	if err := link.conn.AsyncWrite(encoded.encode(), nil); err != nil {
+	if err := link.write(encoded); err != nil {
 		link.forget(number)
 		return Payload{}, errors.Join(ErrNotSent, Error.New("send: %w", err))
 	}
@@ -96,7 +96,7 @@
 		return payload, nil
 	case <-ctx.Done():
 		link.forget(number)
-		_ = link.conn.AsyncWrite(frame{kind: frameCancel, number: number}.encode(), nil)
+		_ = link.write(frame{kind: frameCancel, number: number})
 		return Payload{}, Error.New("wait for reply: %w", ctx.Err())
 	}
 }
@@ -136,33 +136,83 @@
 	case <-link.closed:
 		return nil, Error.New("link to %s was closed during the greeting", address)
 	case <-timer.C:
-		_ = link.conn.Close()
+		link.shut()
 		return nil, Error.New("link to %s: no greeting within %s", address, greetTimeout)
 	case <-ctx.Done():
 		return nil, Error.New("open link: %w", ctx.Err())
 	}
 }
 
+// openLink returns the link to a host, which may not be ready yet. The dial
+// runs without the lock, since the event loop needs it.
 func (client *Client) openLink(address netip.AddrPort) (*outbound, error) {
 	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	if link, ok := client.links[address]; ok {
-		return link, nil
+	link, ok := client.links[address]
+	if !ok {
+		link = &outbound{
+			address: address,
+			ready:   make(chan struct{}), closed: make(chan struct{}),
+			pending: map[uint64]chan Payload{},
+		}
+		client.links[address] = link
 	}
-	link := &outbound{
-		address: address,
-		ready:   make(chan struct{}), closed: make(chan struct{}),
-		pending: map[uint64]chan Payload{},
+	client.mutex.Unlock()
+	if ok {
+		return link, nil
 	}
 	conn, err := client.engine.DialContext("tcp", address.String(), link)
 	if err != nil {
+		client.forgetLink(link)
 		return nil, Error.New("dial %s: %w", address, err)
 	}
-	link.conn = conn
-	client.links[address] = link
+	link.attach(conn)
 	return link, nil
 }
 
+// forgetLink ends a link and lets the next request dial anew.
+func (client *Client) forgetLink(link *outbound) {
+	client.mutex.Lock()
+	if client.links[link.address] == link {
+		delete(client.links, link.address)
+	}
+	client.mutex.Unlock()
+	link.end()
+}
+
+// attach notes the connection, and closes it if the link was dropped during
+// the dial.
+func (outbound *outbound) attach(conn gnet.Conn) {
+	outbound.mutex.Lock()
+	defer outbound.mutex.Unlock()
+	outbound.conn = conn
+	if outbound.ended {
+		_ = conn.Close()
+	}
+}
+
+// write sends a frame.
+func (outbound *outbound) write(frame frame) error {
+	outbound.mutex.Lock()
+	conn := outbound.conn
+	outbound.mutex.Unlock()
+	if conn == nil {
+		return Error.New("link to %s is not open", outbound.address)
+	}
+	if err := conn.AsyncWrite(frame.encode(), nil); err != nil {
+		return Error.New("write: %w", err)
+	}
+	return nil
+}
+
+// shut closes the connection.
+func (outbound *outbound) shut() {
+	outbound.mutex.Lock()
+	defer outbound.mutex.Unlock()
+	if outbound.conn != nil {
+		_ = outbound.conn.Close()
+	}
+}
+
 // Send sends a datagram to a host's peer port.
 func (client *Client) Send(address netip.AddrPort, data []byte) error {
 	socket, err := client.socket(address)
@@ -180,14 +230,17 @@
 
 func (client *Client) socket(address netip.AddrPort) (gnet.Conn, error) {
 	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	if socket, ok := client.sockets[address]; ok {
+	socket, ok := client.sockets[address]
+	client.mutex.Unlock()
+	if ok {
 		return socket, nil
 	}
 	socket, err := client.engine.DialContext("udp", address.String(), address)
 	if err != nil {
 		return nil, Error.New("open socket to %s: %w", address, err)
 	}
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
 	client.sockets[address] = socket
 	return socket, nil
 }
@@ -202,12 +255,7 @@
 		}
 		client.mutex.Unlock()
 	case *outbound:
-		client.mutex.Lock()
-		if client.links[owner.address] == owner {
-			delete(client.links, owner.address)
-		}
-		client.mutex.Unlock()
-		owner.end()
+		client.forgetLink(owner)
 	}
 	return gnet.None
 }
@@ -307,8 +355,8 @@
 	if !ok {
 		return
 	}
-	link.end()
-	_ = link.conn.Close()
+	client.forgetLink(link)
+	link.shut()
 }
 
 // Close ends all links.
