--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -200,6 +200,16 @@
 	return -1
 }
 
+// AnyHost returns the number of a host that runs.
+func (fleet *Fleet) AnyHost() int {
+	for number, running := range fleet.Hosts {
+		if running != nil && running.Ready() {
+			return number
+		}
+	}
+	return 0
+}
+
 // AwaitReady waits until all running hosts hold their leases.
 func (fleet *Fleet) AwaitReady(ctx context.Context) error {
 	return fleet.Await(ctx, "all hosts to hold their leases", func() bool {
--- /dev/null
+++ b/internal/oper/cmds/apply.go
@@ -0,0 +1,27 @@
+package cmds
+
+import (
+	"net/http"
+	"os"
+	"strings"
+)
+
+type applyCommand struct {
+	Remote
+	Output
+
+	File string `arg:"" help:"A TOML or JSON document of records." type:"existingfile"`
+}
+
+// Run sends the document to the host.
+func (applycommand *applyCommand) Run(streams *Streams) error {
+	data, err := os.ReadFile(applycommand.File)
+	if err != nil {
+		return Error.New("read document: %w", err)
+	}
+	contentType := "application/toml"
+	if strings.HasSuffix(applycommand.File, ".json") {
+		contentType = typeJSON
+	}
+	return applycommand.change(streams, applycommand.Output, http.MethodPost, "/api/v1/records", contentType, data)
+}
--- /dev/null
+++ b/internal/oper/cmds/bench.go
@@ -0,0 +1,6 @@
+package cmds
+
+type benchCommand struct{}
+
+// Run prints the slope table.
+func (benchcommand *benchCommand) Run(*Streams) error { return nil }
--- /dev/null
+++ b/internal/oper/cmds/cmds.go
@@ -0,0 +1,105 @@
+// Package cmds is the command line, one file per command.
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("damaskcrank")
+
+// Exit codes of the program.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command failed.
+	ExitFailed = 1
+	// ExitUsage means that the command line was wrong.
+	ExitUsage = 2
+	// ExitConflict means that another change came first.
+	ExitConflict = 3
+	// ExitPartial means that a change is committed but not yet in force on
+	// every live host.
+	ExitPartial = 4
+)
+
+// exitError is an error with the exit code that fits it.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the cause.
+func (exiterror *exitError) Error() string { return exiterror.err.Error() }
+
+// Unwrap returns the cause.
+func (exiterror *exitError) Unwrap() error { return exiterror.err }
+
+// Output is how a command prints data.
+type Output struct {
+	Output string `default:"table" enum:"table,json" help:"How to print data: table or json." short:"o"`
+}
+
+// CommandLine is the program's command line.
+type CommandLine struct {
+	Serve      serveCommand      `cmd:"" help:"Run a host. Without settings it is one host on loopback that is both entry and control host."`
+	Demo       demoCommand       `cmd:"" help:"Run a fleet with stand-in upstreams in this process, move a key, stop a host, and print what happened."`
+	Apply      applyCommand      `cmd:"" help:"Put a document's records in force and wait until every live host has them."`
+	Get        getCommand        `cmd:"" help:"Print records in force."`
+	Delete     deleteCommand     `cmd:"" help:"Withdraw a record."`
+	History    historyCommand    `cmd:"" help:"Print accepted changes, the latest first."`
+	Status     statusCommand     `cmd:"" help:"Print hosts, shards, ownership and the control group."`
+	Datacentre datacentreCommand `cmd:"" help:"Take a data centre out of service or back in."`
+	Upstream   upstreamCommand   `cmd:"" help:"Take an upstream out of service or back in."`
+	Member     memberCommand     `cmd:"" help:"Add, remove or replace a control host."`
+	Move       moveCommand       `cmd:"" help:"Give a single key to an upstream."`
+	Policy     policyCommand     `cmd:"" help:"Compare policies on live traffic."`
+	Key        keyCommand        `cmd:"" help:"Make caller keys."`
+	Token      tokenCommand      `cmd:"" help:"Make operators' tokens."`
+	Settings   settingsCommand   `cmd:"" help:"Work with settings files."`
+	Load       loadCommand       `cmd:"" help:"Send load and print the measures, to a fleet or to one started for the purpose."`
+	Bench      benchCommand      `cmd:"" help:"Measure slopes: the log, the forwarding hop, heartbeats and configuration over the number of hosts."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
+}
+
+// Streams are the program's input and outputs.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Run parses the command line, runs the command and returns the exit code.
+func Run(args []string) int {
+	var line CommandLine
+	streams := &Streams{Out: os.Stdout, Err: os.Stderr}
+	exited := -1
+	parser, err := kong.New(&line, kong.Name("damaskcrank"),
+		kong.Description("A router for servers that own keys exclusively."),
+		kong.UsageOnError(), kong.Exit(func(code int) { exited = code }), kong.Bind(streams))
+	if err != nil {
+		_, _ = fmt.Fprintln(streams.Err, err)
+		return ExitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(streams.Err, "damaskcrank:", err)
+		return ExitUsage
+	}
+	if err := ctx.Run(streams); err != nil {
+		_, _ = fmt.Fprintln(streams.Err, "damaskcrank:", err)
+		var known *exitError
+		if errors.As(err, &known) {
+			return known.code
+		}
+		return ExitFailed
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/internal/oper/cmds/load.go
@@ -0,0 +1,138 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"damaskcrank.example/damaskcrank/internal/base/logs"
+	"damaskcrank.example/damaskcrank/internal/bench/load"
+	"damaskcrank.example/damaskcrank/internal/bench/report"
+	"damaskcrank.example/damaskcrank/internal/bench/scene"
+	"damaskcrank.example/damaskcrank/internal/bench/stand"
+)
+
+const prepareTime = 90 * time.Second
+
+type loadCommand struct {
+	Output
+
+	User       string            `default:"jordan" enum:"jordan,gandaki" help:"Whose fleet to start: jordan or gandaki."`
+	Duration   time.Duration     `default:"20s" help:"How long to send load."`
+	PerSecond  float64           `default:"400" help:"Requests per second of all workspaces together."`
+	RateFactor float64           `default:"1.5" help:"Each workspace's rate as a multiple of its load; below 1 they send over their rates."`
+	Routing    string            `help:"The routing policy; empty is the default."`
+	Admission  string            `help:"The admission policy; empty is the default."`
+	Faults     []scene.FaultKind `help:"Faults to cause in turn: straggler, datacentre, host, leader, upstream, freeze, cold, shutdown."`
+	Seed       uint64            `default:"1" help:"The seed of the load."`
+	Report     string            `help:"Write an HTML report with plots to this file." placeholder:"FILE"`
+	Logs       bool              `help:"Print the hosts' logs."`
+}
+
+// LoadResult is what a load run measured.
+type LoadResult struct {
+	Summary   load.Summary
+	Writes    load.WriteCheck
+	Breaches  stand.Breaches
+	Crashes   int
+	Churn     int
+	Imbalance float64
+	Marks     []scene.Mark
+}
+
+// Run starts a fleet, sends the load, causes the faults and prints measures.
+func (loadcommand *loadCommand) Run(streams *Streams) error {
+	result, series, err := loadcommand.measure(streams)
+	if err != nil {
+		return err
+	}
+	if loadcommand.Report != "" {
+		run := report.Run{
+			Title: "Load on " + loadcommand.User, Summary: result.Summary, Writes: result.Writes,
+			Series: series, Marks: result.Marks,
+		}
+		if err := report.Write(loadcommand.Report, run); err != nil {
+			return Error.New("write report: %w", err)
+		}
+	}
+	if loadcommand.json() {
+		return printJSON(streams.Out, result)
+	}
+	return printLoad(streams, result)
+}
+
+func (loadcommand *loadCommand) measure(streams *Streams) (LoadResult, []load.Point, error) {
+	folder, err := os.MkdirTemp("", "damaskcrank-load-")
+	if err != nil {
+		return LoadResult{}, nil, Error.New("create folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	logger, err := quietLog(loadcommand.Logs)
+	if err != nil {
+		return LoadResult{}, nil, err
+	}
+	user := scene.Jordan()
+	if loadcommand.User == "gandaki" {
+		user = scene.Gandaki()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), prepareTime+2*loadcommand.Duration)
+	defer cancel()
+	_, _ = fmt.Fprintf(streams.Err, "starting %d hosts and %d upstreams\n", user.Hosts, user.KeyedUpstreams+user.DeskUpstreams)
+	running, err := scene.Start(ctx, scene.Options{
+		User: user, Folder: folder, Log: logger, PerSecond: loadcommand.PerSecond, RateFactor: loadcommand.RateFactor,
+		Routing: loadcommand.Routing, Admission: loadcommand.Admission,
+	})
+	if err != nil {
+		return LoadResult{}, nil, Error.New("start scene: %w", err)
+	}
+	defer running.Close()
+	_, _ = fmt.Fprintf(streams.Err, "sending load for %s\n", loadcommand.Duration)
+	before := running.Table()
+	schedule := running.Run(ctx, loadcommand.Faults, loadcommand.Duration)
+	measures := load.NewRunner(running.Plan(loadcommand.Duration, loadcommand.Seed)).Run(ctx)
+	return LoadResult{
+		Summary: measures.Summary(), Writes: measures.CheckWrites(running.Fleet.Journal), Breaches: running.Breaches(),
+		Crashes: running.Fleet.Journal.Crashes(), Churn: running.Moves(before), Imbalance: running.Imbalance(),
+		Marks: schedule.Marks(),
+	}, measures.Series(), nil
+}
+
+// quietLog returns a logger that drops all lines unless they are wanted.
+func quietLog(wanted bool) (log.Interface, error) {
+	if !wanted {
+		return &log.Logger{Handler: discard.New()}, nil
+	}
+	logger, err := logs.New(os.Stderr, "info", logs.FormatText)
+	if err != nil {
+		return nil, Error.New("set up log: %w", err)
+	}
+	return logger, nil
+}
+
+func printLoad(streams *Streams, result LoadResult) error {
+	summary := result.Summary
+	rows := newTable(streams.Out, "MEASURE", "VALUE")
+	rows.row("offered, answered", fmt.Sprintf("%d, %d", summary.Offered, summary.Answered))
+	rows.row("median, p99, p99.9, max", fmt.Sprintf("%s, %s, %s, %s", summary.Median, summary.P99, summary.P999, summary.Max))
+	rows.row("unavailable time, longest gap", fmt.Sprintf("%s, %s", summary.Unavailable.Round(time.Millisecond), summary.LongestGap))
+	rows.row("load imbalance (busiest / mean)", fmt.Sprintf("%.2f", result.Imbalance))
+	rows.row("churn (partitions that changed owner)", result.Churn)
+	rows.row("wrongful refusals", summary.Wrongful)
+	rows.row("worst-served workspace", fmt.Sprintf("%s, %.2f %% of its requests within the rate", summary.Worst.Name, summary.Worst.Served*100))
+	rows.row("writes: sent, acknowledged", fmt.Sprintf("%d, %d", result.Writes.Writes, result.Writes.Acknowledged))
+	rows.row("writes: lost, doubled, falsely 'not run'", fmt.Sprintf("%d, %d, %d", result.Writes.Lost, result.Writes.Doubled, result.Writes.FalseNotRun))
+	rows.row("answers of other requests", summary.Crossed)
+	rows.row("breaches: slots, cold start, ownership, caller keys", fmt.Sprintf("%d, %d, %d, %d",
+		result.Breaches.OverSlots, result.Breaches.OverCold, result.Breaches.NotOwner, result.Breaches.CallerKeys))
+	for _, reason := range summary.Reasons {
+		rows.row("refused: "+reason.Reason, reason.Count)
+	}
+	for _, mark := range result.Marks {
+		rows.row(fmt.Sprintf("at %s", mark.At.Round(time.Millisecond)), mark.Text)
+	}
+	return rows.flush()
+}
