--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -21,6 +21,8 @@
 	frameMagic = 0x64637266
 	// HeaderSize is the size in bytes of a frame's header.
 	HeaderSize = 16
+	// maxElements bounds the elements of one decoded list or map.
+	maxElements = 1 << 22
 	// MaxFrameSize bounds a frame's payload in bytes.
 	MaxFrameSize = 256 << 20
 )
@@ -43,8 +45,8 @@
 
 func mustDecMode() cbor.DecMode {
 	options := cbor.DecOptions{
-		MaxArrayElements: 1 << 22,
-		MaxMapPairs:      1 << 22,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
 		IndefLength:      cbor.IndefLengthForbidden,
 	}
 	mode, err := options.DecMode()
--- a/internal/base/conf/conf_test.go
+++ b/internal/base/conf/conf_test.go
@@ -41,7 +41,7 @@
 		new   string
 		field string
 	}{
-		{"unknown field", `name = "entry-1"`, `nmae = "entry-1"`, "host.nmae"},
+		{"unknown field", `name = "entry-1"`, `title = "entry-1"`, "host.title"},
 		{"wrong type", `enabled = true`, `enabled = "yes"`, "control.enabled"},
 		{"impossible address", `address = "10.1.0.1:7400"`, `address = "10.1.0.1000:7400"`, "caller.address"},
 		{"port 0", `address = "10.1.0.1:7401"`, `address = "10.1.0.1:0"`, "operator.address"},
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -34,14 +34,14 @@
 }
 
 func handler(writer io.Writer, file *os.File, format Format) log.Handler {
-	if format == FormatJSON || format != FormatText && !terminal(file) {
+	if format == FormatJSON || format != FormatText && !Terminal(file) {
 		return json.New(writer)
 	}
 	return text.New(writer)
 }
 
-// terminal tells whether the file is a character device.
-func terminal(file *os.File) bool {
+// Terminal tells whether the file is a terminal or another character device.
+func Terminal(file *os.File) bool {
 	info, err := file.Stat()
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -97,7 +97,8 @@
 func freePrefix() (string, error) {
 	for range prefixTries {
 		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)) //nolint:gosec // only avoids collisions
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s1:%d", prefix, callerPort))
+		var config net.ListenConfig
+		listener, err := config.Listen(context.Background(), "tcp", fmt.Sprintf("%s1:%d", prefix, callerPort))
 		if err == nil {
 			_ = listener.Close()
 			return prefix, nil
--- a/internal/bench/load/measure.go
+++ b/internal/bench/load/measure.go
@@ -59,7 +59,6 @@
 	times   *hdrhistogram.Histogram
 	writes  []write
 	crossed int
-	errors  int
 }
 
 func newMeasures(plan Plan) *Measures {
--- a/internal/bench/stand/stand.go
+++ b/internal/bench/stand/stand.go
@@ -67,7 +67,7 @@
 	OverSlots int64
 	// OverCold are requests above what the cold upstream bears.
 	OverCold int64
-	// NotOwner are requests for keys that the upstream had no grant for.
+	// NotOwner are requests that ran for keys that the upstream had no grant for.
 	NotOwner int64
 	// CallerKeys are requests that showed a caller's key.
 	CallerKeys int64
@@ -89,6 +89,7 @@
 	overSlots   atomic.Int64
 	overCold    atomic.Int64
 	notOwner    atomic.Int64
+	fenced      atomic.Int64
 	callerKeys  atomic.Int64
 
 	mutex      sync.Mutex
@@ -107,7 +108,8 @@
 // Start starts the upstream cold and has it announce itself. The journal, which
 // several upstreams may share, notes what ran.
 func Start(options Options, journal *Journal) (*Upstream, error) {
-	listener, err := net.Listen("tcp", options.Address.String())
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", options.Address.String())
 	if err != nil {
 		return nil, Error.New("listen: %w", err)
 	}
@@ -147,6 +149,10 @@
 	}
 }
 
+// Fenced returns the number of requests that were refused for an old token or
+// an ended grant.
+func (upstream *Upstream) Fenced() int64 { return upstream.fenced.Load() }
+
 // Slow makes each request take factor times as long; 1 is normal.
 func (upstream *Upstream) Slow(factor int) { upstream.slow.Store(int64(factor)) }
 
@@ -366,12 +372,13 @@
 // admits refuses, as not run, a request without a grant or a slot.
 func (upstream *Upstream) admits(writer http.ResponseWriter, request *http.Request) bool {
 	if !upstream.checkOwner(request) {
-		upstream.notOwner.Add(1)
 		if upstream.options.ChecksToken {
+			upstream.fenced.Add(1)
 			writer.Header().Set(upstr.HeaderOutcome, upstr.OutcomeFenced)
 			http.Error(writer, "no grant for this key", http.StatusConflict)
 			return false
 		}
+		upstream.notOwner.Add(1)
 	}
 	if upstream.running.Add(1) > int64(upstream.options.Slots) {
 		upstream.running.Add(-1)
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -32,7 +32,8 @@
 type Control struct{ node *Node }
 
 func listen(node *Node) (*server, error) {
-	listener, err := net.Listen("tcp", node.options.Address.String())
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", node.options.Address.String())
 	if err != nil {
 		return nil, Error.New("listen for control: %w", err)
 	}
--- a/internal/control/group/wire.go
+++ b/internal/control/group/wire.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -41,7 +43,8 @@
 	if time.Now().Before(wire.retryAt) {
 		return nil, Error.New("control host %s did not answer a moment ago", wire.address)
 	}
-	conn, err := net.DialTimeout("tcp", wire.address.String(), dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(context.Background(), "tcp", wire.address.String())
 	if err != nil {
 		wire.retryAt = time.Now().Add(redialPause)
 		return nil, Error.New("dial control host: %w", err)
@@ -83,7 +86,8 @@
 	if call.Error == nil {
 		return nil
 	}
-	if _, remote := call.Error.(rpc.ServerError); !remote {
+	var remote rpc.ServerError
+	if !errors.As(call.Error, &remote) {
 		wire.drop(client)
 	}
 	return Error.New("%s on %s: %w", method, wire.address, call.Error)
--- a/internal/control/plan/plan.go
+++ b/internal/control/plan/plan.go
@@ -18,8 +18,9 @@
 	// BalanceInterval is the time between two steps that only serve balance, so
 	// that what returns gets its share back slowly.
 	BalanceInterval = 500 * time.Millisecond
-	// balanceSlots is the number of slots that one step moves for balance.
-	balanceSlots = 4
+	// balanceSlots is the number of slots that one upstream gets in a step that
+	// only serves balance.
+	balanceSlots = 2
 	// balanceShards is the number of shards that one step moves for balance.
 	balanceShards = 1
 	// loadSlack is how many slots above the mean an upstream may own before
--- a/internal/control/plan/slots.go
+++ b/internal/control/plan/slots.go
@@ -72,9 +72,10 @@
 }
 
 // balanceMoves takes partitions from upstreams that own more than the mean
-// and the slack allow. Single keys stay: they were placed on purpose.
+// and the slack allow, and gives each upstream only a few at a time. Single keys stay: they were placed on purpose.
 func balanceMoves(slots []slotOwner, owned map[string]int, upstreams []string) []state.SlotMove {
 	limit := (len(slots)+len(upstreams)-1)/len(upstreams) + loadSlack
+	gained := map[string]int{}
 	var moves []state.SlotMove
 	for _, slot := range slots {
 		source := slot.owner.Upstream
@@ -82,12 +83,13 @@
 			continue
 		}
 		target := fewest(owned, upstreams)
+		if owned[target]+1 >= owned[source] || gained[target] == balanceSlots {
+			break
+		}
 		owned[source]--
 		owned[target]++
+		gained[target]++
 		moves = append(moves, slot.moveTo(target))
-		if len(moves) == balanceSlots {
-			break
-		}
 	}
 	return moves
 }
--- a/internal/control/plan/steward.go
+++ b/internal/control/plan/steward.go
@@ -22,8 +22,20 @@
 type Leases interface {
 	Observe()
 	Expired(epoch uint64) bool
+	// Silent counts the sessions that were not heard of for the time given.
+	Silent(than time.Duration) (silent, total int)
 }
 
+const (
+	// deafAfter is the silence of most hosts that a leader takes for its own
+	// fault. It is shorter than a lease, so that no session ends before the
+	// next leader has heard from the hosts.
+	deafAfter = 240 * time.Millisecond
+	// deafTerm is how long a leader must have led for that; one that has just
+	// taken over and hears nobody either takes them for lost.
+	deafTerm = 2 * time.Second
+)
+
 // Steward carries decisions out while its control host leads.
 type Steward struct {
 	node        *group.Node
@@ -65,6 +77,11 @@
 	if !steward.node.Leads() {
 		return
 	}
+	if steward.deaf() {
+		steward.log.Warn(logPrefix + "most hosts have fallen silent at once, so another control host is to lead")
+		steward.node.HandOver()
+		return
+	}
 	now := steward.clock.Now()
 	balance := now.Sub(steward.lastBalance) >= BalanceInterval
 	if balance {
@@ -76,6 +93,20 @@
 	}
 }
 
+// deaf tells whether this leader, rather than most of the hosts, seems to be
+// cut off: consensus works, but heartbeats do not come in any more.
+func (steward *Steward) deaf() bool {
+	status := steward.node.Status()
+	if len(status.Members) < minMembers || steward.clock.Now().Sub(status.LeaderSince) < deafTerm {
+		return false
+	}
+	silent, total := steward.leases.Silent(deafAfter)
+	return total > 1 && silent*2 > total
+}
+
+// minMembers is the smallest group in which another member can take over.
+const minMembers = 2
+
 func (steward *Steward) carryOut(command state.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -10,6 +10,9 @@
 // as a multiple of the election timeout.
 const snapshotRetry = 10
 
+// alwaysInContact is a time in seconds that lies after any real one.
+const alwaysInContact = 1 << 40
+
 // maxTrackedRounds bounds the rounds whose sending time a leader remembers.
 const maxTrackedRounds = 128
 
@@ -35,7 +38,7 @@
 		needed--
 	}
 	if needed == 0 {
-		return time.Unix(1<<40, 0)
+		return time.Unix(alwaysInContact, 0)
 	}
 	var times []time.Time
 	for _, member := range core.members.Voters {
--- a/internal/control/raft/memlog.go
+++ b/internal/control/raft/memlog.go
@@ -6,51 +6,51 @@
 	entries  []Entry
 }
 
-func (log *memoryLog) lastIndex() uint64 {
-	return log.snapshot.Index + uint64(len(log.entries))
+func (memorylog *memoryLog) lastIndex() uint64 {
+	return memorylog.snapshot.Index + uint64(len(memorylog.entries))
 }
 
 // term returns the term at index, and false where the log does not reach.
-func (log *memoryLog) term(index uint64) (uint64, bool) {
-	if index == log.snapshot.Index {
-		return log.snapshot.Term, true
+func (memorylog *memoryLog) term(index uint64) (uint64, bool) {
+	if index == memorylog.snapshot.Index {
+		return memorylog.snapshot.Term, true
 	}
-	if index < log.snapshot.Index || index > log.lastIndex() {
+	if index < memorylog.snapshot.Index || index > memorylog.lastIndex() {
 		return 0, false
 	}
-	return log.entries[index-log.snapshot.Index-1].Term, true
+	return memorylog.entries[index-memorylog.snapshot.Index-1].Term, true
 }
 
-func (log *memoryLog) lastTerm() uint64 {
-	term, _ := log.term(log.lastIndex())
+func (memorylog *memoryLog) lastTerm() uint64 {
+	term, _ := memorylog.term(memorylog.lastIndex())
 	return term
 }
 
-func (log *memoryLog) append(entry Entry) {
-	log.entries = append(log.entries, entry)
+func (memorylog *memoryLog) append(entry Entry) {
+	memorylog.entries = append(memorylog.entries, entry)
 }
 
 // truncate drops the entries from index on.
-func (log *memoryLog) truncate(index uint64) {
-	log.entries = log.entries[:index-log.snapshot.Index-1]
+func (memorylog *memoryLog) truncate(index uint64) {
+	memorylog.entries = memorylog.entries[:index-memorylog.snapshot.Index-1]
 }
 
 // slice returns the entries from first to last, both included.
-func (log *memoryLog) slice(first, last uint64) []Entry {
-	last = min(last, log.lastIndex())
-	if first > last || first <= log.snapshot.Index {
+func (memorylog *memoryLog) slice(first, last uint64) []Entry {
+	last = min(last, memorylog.lastIndex())
+	if first > last || first <= memorylog.snapshot.Index {
 		return nil
 	}
-	base := log.snapshot.Index + 1
-	return log.entries[first-base : last-base+1]
+	base := memorylog.snapshot.Index + 1
+	return memorylog.entries[first-base : last-base+1]
 }
 
 // compact replaces the entries up to the snapshot's index.
-func (log *memoryLog) compact(snapshot Snapshot) {
+func (memorylog *memoryLog) compact(snapshot Snapshot) {
 	var rest []Entry
-	if snapshot.Index < log.lastIndex() {
-		rest = append(rest, log.entries[snapshot.Index-log.snapshot.Index:]...)
+	if snapshot.Index < memorylog.lastIndex() {
+		rest = append(rest, memorylog.entries[snapshot.Index-memorylog.snapshot.Index:]...)
 	}
-	log.entries = rest
-	log.snapshot = snapshot
+	memorylog.entries = rest
+	memorylog.snapshot = snapshot
 }
--- a/internal/control/spec/parse.go
+++ b/internal/control/spec/parse.go
@@ -297,7 +297,7 @@
 }
 
 func parseRate(body []byte, old bool) (Spec, error) {
-	rate := Rate{}
+	var rate Rate
 	if old {
 		written, err := decode[rateOld](body)
 		if err != nil {
--- a/internal/control/state/types.go
+++ b/internal/control/state/types.go
@@ -58,8 +58,8 @@
 }
 
 // Dispatch returns the service and upstream of a dispatch shard.
-func (shard ShardID) Dispatch() (service, upstream string, ok bool) {
-	rest, ok := strings.CutPrefix(string(shard), dispatchPrefix)
+func (shardid ShardID) Dispatch() (service, upstream string, ok bool) {
+	rest, ok := strings.CutPrefix(string(shardid), dispatchPrefix)
 	if !ok {
 		return "", "", false
 	}
@@ -68,8 +68,8 @@
 }
 
 // Quota returns the workspace of a quota shard.
-func (shard ShardID) Quota() (workspace string, ok bool) {
-	return strings.CutPrefix(string(shard), quotaPrefix)
+func (shardid ShardID) Quota() (workspace string, ok bool) {
+	return strings.CutPrefix(string(shardid), quotaPrefix)
 }
 
 // Shard says which host has a duty. Its epoch is the log index that gave the
@@ -89,7 +89,7 @@
 }
 
 // String returns the ID as service/name, the name of its record.
-func (id UpstreamID) String() string { return id.Service + "/" + id.Name }
+func (upstreamid UpstreamID) String() string { return upstreamid.Service + "/" + upstreamid.Name }
 
 // Upstream is what an upstream announced. Its epoch is the log index of the
 // announcement.
--- a/internal/dispatch/calls/calls.go
+++ b/internal/dispatch/calls/calls.go
@@ -128,7 +128,7 @@
 func (reason Reason) Moving() bool {
 	switch reason {
 	case ReasonLeaseLost, ReasonHostStopping, ReasonShardMoved, ReasonKeyMoving, ReasonNoOwner,
-		ReasonNoUpstream, ReasonUpstreamLost, ReasonPrimaryUnreachable:
+		ReasonNoUpstream, ReasonUpstreamLost, ReasonPrimaryUnreachable, ReasonUnreachable, ReasonHostCutOff:
 		return true
 	default:
 		return false
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -97,14 +97,24 @@
 		go shard.strike(work, target, result)
 	case upstr.TimedOut:
 		work.maybeRan = true
-		work.settle(calls.Refused{
-			Reason: calls.ReasonUpstreamTimeout, Ran: calls.RanUnknown, Detail: "no answer before the deadline",
-		})
+		work.settle(timeoutOutcome(work))
 	case upstr.BadAnswer:
 		work.settle(calls.Refused{Reason: badAnswerReason(result.Cause), Ran: calls.RanYes, Detail: result.Err.Error()})
 	}
 }
 
+// timeoutOutcome tells a caller why there is no answer.
+func timeoutOutcome(work *run) calls.Refused {
+	refused := calls.Refused{
+		Reason: calls.ReasonUpstreamTimeout, Ran: calls.RanUnknown, Detail: "no answer before the deadline",
+	}
+	if work.abandoned {
+		refused.Reason = calls.ReasonUpstreamLost
+		refused.Detail = "the upstream was lost in mid-request"
+	}
+	return refused
+}
+
 func badAnswerReason(cause upstr.BadAnswerCause) calls.Reason {
 	switch cause {
 	case upstr.CauseTooLarge:
--- a/internal/dispatch/shard/follow.go
+++ b/internal/dispatch/shard/follow.go
@@ -48,6 +48,7 @@
 	for name, target := range shard.targets {
 		if _, ok := catalog.Upstreams[target.upstream.ID]; !ok {
 			delete(shard.targets, name)
+			shard.abandon(target)
 		}
 	}
 	if shard.upstream != "" && len(shard.targets) == 0 {
@@ -55,6 +56,17 @@
 	}
 }
 
+// abandon gives up what runs at a lost upstream, so that idempotent requests go
+// to the next owner and other callers learn at once that the outcome is unknown.
+func (shard *Shard) abandon(target *target) {
+	for work := range target.runs {
+		for _, cancel := range work.cancels {
+			cancel()
+		}
+		work.abandoned = true
+	}
+}
+
 // renewed keeps what must outlive a new announcement: slots in use, and the
 // end of grants that an earlier process at another address may still hold.
 func (shard *Shard) renewed(previous, next *target) *target {
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -29,7 +29,9 @@
 	// idleTurn is the longest pause between turns.
 	idleTurn = 50 * time.Millisecond
 	// budgetLimit bounds the retries that a quiet time can save up.
-	budgetLimit = 20
+	budgetLimit   = 20
+	medianPercent = 50
+	tailPercent   = 99
 	// logPrefix starts each line that this package logs.
 	logPrefix = "dispatch: "
 )
@@ -160,7 +162,9 @@
 	hedged bool
 	// maybeRan is set once an attempt ended without proof that it did not run.
 	maybeRan bool
-	settled  bool
+	// abandoned is set where the upstream was lost while the request ran.
+	abandoned bool
+	settled   bool
 	// startedAt is when the first open attempt was sent.
 	startedAt time.Time
 	target    *target
@@ -411,8 +415,8 @@
 		status.Waiting += lane.queue.Len()
 		status.Policies = append(status.Policies, PolicyStatus{
 			Policy: lane.policy.Name, Answered: lane.answered, Refused: lane.refused,
-			Median: time.Duration(lane.times.ValueAtQuantile(50)) * time.Microsecond,
-			P99:    time.Duration(lane.times.ValueAtQuantile(99)) * time.Microsecond,
+			Median: time.Duration(lane.times.ValueAtQuantile(medianPercent)) * time.Microsecond,
+			P99:    time.Duration(lane.times.ValueAtQuantile(tailPercent)) * time.Microsecond,
 		})
 		workspace, waiting := lane.queue.Longest()
 		if waiting > status.WorstWaiting {
--- a/internal/entry/front/carry.go
+++ b/internal/entry/front/carry.go
@@ -14,7 +14,7 @@
 const (
 	// moveWait is how long a request waits in all for a primary and an owner
 	// that are about to change.
-	moveWait = 3 * time.Second
+	moveWait = 2 * time.Second
 	// movePoll is the time between two tries while the catalog does not change.
 	movePoll = 20 * time.Millisecond
 )
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -36,6 +36,8 @@
 	// linkSlack is what is left of the deadline for the way back from the
 	// primary.
 	linkSlack = 5 * time.Millisecond
+	// leaseWait is how long a request waits for the host's lease.
+	leaseWait = 500 * time.Millisecond
 )
 
 // Primary carries out requests for shards of this host.
@@ -121,7 +123,7 @@
 // it goes on to the primary.
 func (front *Front) accept(writer http.ResponseWriter, request *http.Request, now time.Time) (calls.Request, calls.Outcome) {
 	work := calls.Request{ID: uuid.NewString(), Method: request.Method}
-	if !front.Lease.Valid() {
+	if !front.awaitLease(request.Context()) {
 		return work, calls.Refused{
 			Reason: calls.ReasonHostCutOff, Ran: calls.RanNot, RetryAfter: time.Second,
 			Detail: "this host is cut off from control",
@@ -147,6 +149,23 @@
 	return work, nil
 }
 
+// awaitLease waits a moment for a lease that a change of control leader keeps
+// away, and tells whether the host holds one.
+func (front *Front) awaitLease(ctx context.Context) bool {
+	deadline := front.Clock.Now().Add(leaseWait)
+	for !front.Lease.Valid() {
+		if !front.Clock.Now().Before(deadline) {
+			return false
+		}
+		select {
+		case <-front.Clock.After(movePoll):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // describe fills in the service, the key and the deadline.
 func (front *Front) describe(catalog *state.Catalog, request *http.Request, work *calls.Request) (spec.Service, *calls.Refused) {
 	name, target, _ := strings.Cut(strings.TrimPrefix(request.URL.EscapedPath(), "/"), "/")
--- a/internal/entry/quota/purse.go
+++ b/internal/entry/quota/purse.go
@@ -11,6 +11,9 @@
 const (
 	// MaxWait is how long a request may wait for a token rather than be refused.
 	MaxWait = 300 * time.Millisecond
+	// takeoverWait is how long it may wait while the bank moves to another host
+	// and just after, when the new bank is still empty.
+	takeoverWait = 1200 * time.Millisecond
 	// maxWaiting bounds the requests of one workspace that wait on one host.
 	maxWaiting = 512
 	askTimeout = 250 * time.Millisecond
@@ -48,6 +51,8 @@
 type taker struct {
 	reply    chan Verdict
 	deadline time.Time
+	// last is the deadline that counts around a takeover.
+	last time.Time
 }
 
 // Purse holds one workspace's borrowed tokens on one entry host. Its task owns
@@ -69,6 +74,8 @@
 	lastTake time.Time
 	retry    time.Duration
 	noBank   bool
+	// noBankAt is when an ask last found no bank in charge.
+	noBankAt time.Time
 	demand   float64
 	taken    int
 	measured time.Time
@@ -95,7 +102,10 @@
 
 // Take takes a token, and waits for one for a bounded time.
 func (purse *Purse) Take(ctx context.Context, limit time.Duration) Verdict {
-	wish := taker{reply: make(chan Verdict, 1), deadline: purse.clock.Now().Add(min(limit, MaxWait))}
+	now := purse.clock.Now()
+	wish := taker{
+		reply: make(chan Verdict, 1), deadline: now.Add(min(limit, MaxWait)), last: now.Add(min(limit, takeoverWait)),
+	}
 	select {
 	case purse.inbox <- wish:
 	case <-ctx.Done():
@@ -177,7 +187,7 @@
 		switch {
 		case purse.spend():
 			wish.reply <- Verdict{Granted: true}
-		case !now.Before(wish.deadline):
+		case !now.Before(purse.deadline(wish, now)):
 			wish.reply <- Verdict{Unavailable: purse.noBank, RetryAfter: max(purse.retry, minAskWait)}
 		default:
 			return
@@ -186,6 +196,14 @@
 	}
 }
 
+// deadline returns until when a request waits for a token.
+func (purse *Purse) deadline(wish taker, now time.Time) time.Time {
+	if now.Sub(purse.noBankAt) < takeoverWait && !purse.noBankAt.IsZero() {
+		return wish.last
+	}
+	return wish.deadline
+}
+
 // expire drops tokens that may no longer be used.
 func (purse *Purse) expire(now time.Time) {
 	for len(purse.batches) > 0 && !now.Before(purse.batches[0].expires) {
@@ -268,6 +286,9 @@
 	purse.asking = false
 	lent := answered.lent
 	purse.noBank = lent.Refusal != ""
+	if purse.noBank {
+		purse.noBankAt = now
+	}
 	purse.retry = lent.RetryAfter
 	purse.askAfter = now
 	if lent.Count == 0 {
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -90,7 +90,8 @@
 // it a lease.
 func Start(options Options) (*Host, error) {
 	host := &Host{
-		options: options, boot: rand.Uint64(), stats: &stats.Set{}, stop: make(chan struct{}),
+		options: options, boot: rand.Uint64(), //nolint:gosec // tells processes apart, guards nothing
+		stats: &stats.Set{}, stop: make(chan struct{}),
 	}
 	for _, start := range []func() error{
 		host.startControl, host.startPeers, host.startDuties, host.startServers,
@@ -230,7 +231,8 @@
 }
 
 func listenHTTP(address netip.AddrPort) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address.String())
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, Error.New("%w", err)
 	}
--- a/internal/fleet/host/stop.go
+++ b/internal/fleet/host/stop.go
@@ -100,6 +100,13 @@
 
 func (host *Host) kill() {
 	close(host.stop)
+	// Control ends first, as in a crash: a leader that lived on without its
+	// peer port would take all other hosts for lost.
+	if host.node != nil {
+		if err := host.node.Close(); err != nil {
+			host.options.Log.WithError(err).Warn(logPrefix + "control ended with an error")
+		}
+	}
 	if host.callers != nil {
 		_ = host.callers.Close()
 	}
@@ -121,11 +128,6 @@
 	if host.steward != nil {
 		host.steward.Close()
 	}
-	if host.node != nil {
-		if err := host.node.Close(); err != nil {
-			host.options.Log.WithError(err).Warn(logPrefix + "control ended with an error")
-		}
-	}
 	host.tasks.Wait()
 	if host.client != nil {
 		host.client.Close()
--- a/internal/peer/beats/keeper.go
+++ b/internal/peer/beats/keeper.go
@@ -161,6 +161,18 @@
 	return keeper.clock.Now().Sub(since) > Lease+Margin
 }
 
+// Silent counts the live sessions whose lease was not renewed for longer than
+// the time given.
+func (keeper *Keeper) Silent(than time.Duration) (silent, total int) {
+	for _, host := range keeper.HostProgress() {
+		total++
+		if host.Silent > than {
+			silent++
+		}
+	}
+	return silent, total
+}
+
 // HostProgress returns how far each live session's host is.
 func (keeper *Keeper) HostProgress() []group.HostProgress {
 	keeper.mutex.Lock()
--- a/internal/peer/links/links_test.go
+++ b/internal/peer/links/links_test.go
@@ -47,9 +47,10 @@
 // echo replies with the request's body, later requests first.
 func echo(gate chan struct{}) Handler {
 	return func(_ context.Context, request Payload) Payload {
-		if request.Kind == "slow" {
+		switch request.Kind {
+		case "slow":
 			<-gate
-		} else if request.Kind == "last" {
+		case "last":
 			close(gate)
 		}
 		return request
