--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -146,6 +146,9 @@
 
 // retry puts a request back in its queue if the budget allows.
 func (shard *Shard) retry(work *run, reason string, now time.Time) bool {
+	if shard.env.Catalog().Quarantine[work.request.Fingerprint].Quarantined() {
+		return false
+	}
 	if work.tries >= maxTries || shard.budget < 1 || !work.deadline.After(now) || shard.stopping != "" || work.open > 0 {
 		return false
 	}
@@ -171,12 +174,16 @@
 			At:          shard.env.Clock.Now(),
 		})
 	}
-	shard.post(lostMessage{run: work, lost: lost})
+	shard.post(lostMessage{run: work, target: target, lost: lost, crashed: crashed})
 }
 
 // afterLoss decides what follows for a request whose connection was lost.
 func (shard *Shard) afterLoss(message lostMessage) {
 	work := message.run
+	if message.crashed {
+		// Nothing goes there until it confirms a grant again.
+		message.target.grants.confirmed = time.Time{}
+	}
 	if work.settled || work.open > 0 {
 		return
 	}
--- a/internal/dispatch/shard/grant.go
+++ b/internal/dispatch/shard/grant.go
@@ -18,7 +18,11 @@
 	GrantTTL = 600 * time.Millisecond
 	// GrantInterval is the time between renewals.
 	GrantInterval = 100 * time.Millisecond
-	grantTimeout  = 300 * time.Millisecond
+	grantTimeout  = 200 * time.Millisecond
+	// lostFailures is the number of grants in a row that must have failed before
+	// an upstream is given up, so that a pause of the primary itself is not
+	// taken for the upstream's loss.
+	lostFailures = 2
 	// grantMargin is what the primary waits beyond the TTL, for clocks that run
 	// at different speeds.
 	grantMargin = 20 * time.Millisecond
@@ -45,6 +49,7 @@
 	pending  bool
 	sentAt   time.Time
 	losing   bool
+	failures int
 	// seenAt is when the primary began to look after the upstream.
 	seenAt time.Time
 	// notBefore is when the grants of an earlier process have ended.
@@ -173,8 +178,10 @@
 	grants := &message.target.grants
 	grants.pending = false
 	if message.err != nil || message.ack.Epoch > shard.epoch {
+		grants.failures++
 		return
 	}
+	grants.failures = 0
 	now := shard.env.Clock.Now()
 	if message.ack.Incarnation != "" && message.ack.Incarnation != message.target.upstream.Incarnation {
 		// Another process listens at the address; it will announce itself.
@@ -222,9 +229,9 @@
 	end := grants.until
 	if end.IsZero() {
 		// No grant was sent by this primary; an earlier one's may be in force.
-		end = target.grants.firstSeen(now).Add(GrantTTL + grantMargin)
+		end = later(grants.firstSeen(now), grants.notBefore).Add(GrantTTL + grantMargin)
 	}
-	if grants.losing || now.Before(end) || target.alive(now) {
+	if grants.losing || grants.failures < lostFailures || now.Before(end) || target.alive(now) {
 		return
 	}
 	grants.losing = true
@@ -245,6 +252,13 @@
 	return grants.seenAt
 }
 
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
 // proposeUntilDone commits a command that must not get lost.
 func (shard *Shard) proposeUntilDone(command state.Command) bool {
 	for shard.ctx.Err() == nil {
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -96,8 +96,11 @@
 type slotsReleased struct{ target *target }
 
 type lostMessage struct {
-	run  *run
-	lost upstr.Lost
+	run    *run
+	target *target
+	lost   upstr.Lost
+	// crashed is set where the upstream's process was lost too.
+	crashed bool
 }
 
 type settleMessage struct {
@@ -217,12 +220,19 @@
 
 // New starts the primary of a shard that the catalog gives to this host.
 func New(env Env, id state.ShardID, epoch uint64) *Shard {
+	shard := newShard(env, id, epoch)
+	go shard.loop()
+	return shard
+}
+
+// newShard returns a primary whose loop does not run yet.
+func newShard(env Env, id state.ShardID, epoch uint64) *Shard {
 	service, upstream, _ := id.Dispatch()
 	ctx, cancel := context.WithCancel(context.Background())
 	if env.Random == nil {
 		env.Random = rand.IntN
 	}
-	shard := &Shard{
+	return &Shard{
 		id: id, epoch: epoch, service: service, upstream: upstream, env: env,
 		inbox:   make(chan message, inboxSize),
 		changed: make(chan struct{}, 1),
@@ -233,8 +243,6 @@
 		running: map[*run]bool{},
 		budget:  budgetLimit,
 	}
-	go shard.loop()
-	return shard
 }
 
 // Epoch returns the shard's epoch.
@@ -243,11 +251,7 @@
 // Submit has a request carried out and waits for its outcome. It returns in
 // any case shortly after the request's deadline.
 func (shard *Shard) Submit(ctx context.Context, request calls.Request) calls.Outcome {
-	now := shard.env.Clock.Now()
-	work := &run{
-		request: request, ctx: ctx, arrived: now, deadline: now.Add(request.Remaining),
-		reply: make(chan calls.Outcome, 1), now: shard.env.Clock.Now,
-	}
+	work := shard.newRun(ctx, request)
 	select {
 	case shard.inbox <- submitMessage{run: work}:
 	case <-shard.done:
@@ -268,6 +272,14 @@
 	}
 }
 
+func (shard *Shard) newRun(ctx context.Context, request calls.Request) *run {
+	now := shard.env.Clock.Now()
+	return &run{
+		request: request, ctx: ctx, arrived: now, deadline: now.Add(request.Remaining),
+		reply: make(chan calls.Outcome, 1), now: shard.env.Clock.Now,
+	}
+}
+
 func moved(reason calls.Reason) calls.Refused {
 	return calls.Refused{Reason: reason, Ran: calls.RanNot}
 }
--- a/internal/oper/cmds/demo.go
+++ b/internal/oper/cmds/demo.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	demoLoad     = 3 * time.Second
+	demoLoad = 3 * time.Second
+	// demoLead is how long load runs before a step's action.
+	demoLead     = 750 * time.Millisecond
 	demoRate     = 150
 	demoFactor   = 2
 	demoTimeout  = 2 * time.Minute
@@ -97,7 +99,7 @@
 		go func() {
 			results <- load.NewRunner(running.Plan(demoLoad, uint64(number+1))).Run(ctx)
 		}()
-		<-time.After(demoLoad / 4)
+		<-time.After(demoLead)
 		detail, err := step.action(ctx, running)
 		measures := <-results
 		if err != nil {
