--- a/internal/control/group/member.go
+++ b/internal/control/group/member.go
@@ -25,7 +25,7 @@
 		if position < 0 {
 			return raft.Members{}, Error.New("%s is not a learner", id)
 		}
-		if match := node.core.Match(id); match+promoteLag < node.core.LastIndex() {
+		if match := node.core.Match(id); match == 0 || match+promoteLag < node.core.LastIndex() {
 			return raft.Members{}, Error.New("%s has %d of %d entries", id, match, node.core.LastIndex())
 		}
 		members.Voters = append(members.Voters, members.Learners[position])
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/gob"
+	"net/netip"
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/control/raft"
@@ -121,7 +122,11 @@
 type TransferReply struct{ Started bool }
 
 // DeliverArgs carries consensus messages.
-type DeliverArgs struct{ Envelopes []raft.Envelope }
+type DeliverArgs struct {
+	Envelopes []raft.Envelope
+	// From is where the sender takes answers: a new member knows no addresses.
+	From netip.AddrPort
+}
 
 // DeliverReply is empty.
 type DeliverReply struct{}
@@ -151,7 +156,10 @@
 	err       error
 }
 
-type deliverRequest struct{ envelopes []raft.Envelope }
+type deliverRequest struct {
+	envelopes []raft.Envelope
+	from      netip.AddrPort
+}
 
 type fetchRequest struct {
 	after uint64
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -88,6 +88,8 @@
 	deltaBase  uint64
 	waiters    []fetchRequest
 	senders    map[raft.MemberID]*sender
+	// contacts are the addresses that members' messages came from.
+	contacts   map[raft.MemberID]netip.AddrPort
 	snapshotOn bool
 	changed    chan struct{}
 	server     *server
@@ -121,6 +123,7 @@
 		proposals: map[uint64]pendingProposal{},
 		reads:     map[uint64]chan uint64{},
 		senders:   map[raft.MemberID]*sender{},
+		contacts:  map[raft.MemberID]netip.AddrPort{},
 	}
 	if restored.TornBytes > 0 {
 		options.Log.Warnf(logPrefix+"cut %d bytes of an unfinished write", restored.TornBytes)
@@ -280,6 +283,7 @@
 	case deliverRequest:
 		for _, envelope := range message.envelopes {
 			if envelope.To == node.id {
+				node.contacts[envelope.From] = message.from
 				node.step(raft.Receive{Envelope: envelope}, work)
 			}
 		}
--- a/internal/control/group/sender.go
+++ b/internal/control/group/sender.go
@@ -23,18 +23,18 @@
 		queue:   make(chan raft.Envelope, senderQueue),
 		stop:    make(chan struct{}),
 	}
-	go sender.run(newWire(address, node.options.Secret))
+	go sender.run(newWire(address, node.options.Secret), node.options.Address)
 	return sender
 }
 
-func (sender *sender) run(wire *wire) {
+func (sender *sender) run(wire *wire, own netip.AddrPort) {
 	defer wire.close()
 	for {
 		select {
 		case <-sender.stop:
 			return
 		case envelope := <-sender.queue:
-			args := DeliverArgs{Envelopes: sender.collect(envelope)}
+			args := DeliverArgs{Envelopes: sender.collect(envelope), From: own}
 			_ = wire.call("Control.Deliver", args, &DeliverReply{}, deliverTimeout)
 		}
 	}
@@ -109,15 +109,6 @@
 			return member.Address, true
 		}
 	}
-	return node.senderAddress(id)
-}
-
-// senderAddress finds a member that has left the membership but still gets
-// the messages that tell it so.
-func (node *Node) senderAddress(id raft.MemberID) (netip.AddrPort, bool) {
-	sender, ok := node.senders[id]
-	if !ok {
-		return netip.AddrPort{}, false
-	}
-	return sender.address, true
+	address, ok := node.contacts[id]
+	return address, ok
 }
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/control/raft"
+	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
 const (
@@ -99,7 +100,7 @@
 func (control *Control) Deliver(args DeliverArgs, _ *DeliverReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
 	defer cancel()
-	return control.node.ask(ctx, deliverRequest{envelopes: args.Envelopes})
+	return control.node.ask(ctx, deliverRequest{envelopes: args.Envelopes, from: args.From})
 }
 
 // Propose commits a command if this member leads.
@@ -198,6 +199,40 @@
 	}
 }
 
+// Read returns a catalog that holds every change that was acknowledged before
+// the call. Only the leader can tell, so others return ErrNotLeader.
+func (node *Node) Read(ctx context.Context) (*state.Catalog, error) {
+	reply := make(chan uint64, 1)
+	if err := node.ask(ctx, readRequest{reply: reply}); err != nil {
+		return nil, err
+	}
+	select {
+	case index := <-reply:
+		if index == 0 {
+			return nil, ErrNotLeader
+		}
+		return node.awaitCatalog(ctx, index)
+	case <-ctx.Done():
+		return nil, Error.New("read: %w", ctx.Err())
+	case <-node.done:
+		return nil, Error.New("the control host has stopped")
+	}
+}
+
+// awaitCatalog waits until the member has applied the index.
+func (node *Node) awaitCatalog(ctx context.Context, index uint64) (*state.Catalog, error) {
+	for {
+		if catalog := node.Catalog(); catalog.Index >= index {
+			return catalog, nil
+		}
+		select {
+		case <-node.options.Clock.After(tickInterval):
+		case <-ctx.Done():
+			return nil, Error.New("read: %w", ctx.Err())
+		}
+	}
+}
+
 func (node *Node) leaderAddress() string {
 	status := node.Status()
 	for _, member := range status.Members {
--- /dev/null
+++ b/internal/control/plan/plan_test.go
@@ -0,0 +1,301 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"damaskcrank.example/damaskcrank/internal/control/spec"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// fleet is a state machine that carries decisions out, with releases at once.
+type fleet struct {
+	machine *state.Machine
+	dead    map[uint64]bool
+	moves   int
+}
+
+func newFleet(t testing.TB, policy string) *fleet {
+	t.Helper()
+	fleet := &fleet{machine: state.NewMachine(), dead: map[uint64]bool{}}
+	records, err := spec.ParseDocument(fmt.Appendf(nil, `
+[[policy]]
+name = "main"
+schema = 1
+version = 1
+routing = %q
+[[workspace]]
+name = "a"
+schema = 1
+version = 1
+[[rate]]
+name = "a"
+schema = 1
+version = 1
+workspace = "a"
+perSecond = 1
+burst = 1
+[[service]]
+name = "keyed"
+schema = 1
+version = 1
+partitions = 64
+policies = ["main"]
+[[service]]
+name = "desk"
+schema = 1
+version = 1
+`, policy), spec.FormatTOML)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet.apply(state.ApplyRecords{Records: records, At: time.Unix(1, 0)})
+	return fleet
+}
+
+func (fleet *fleet) apply(command state.Command) state.Result {
+	return fleet.machine.Apply(fleet.machine.Catalog.Index+1, command)
+}
+
+func (fleet *fleet) host(number int) {
+	fleet.apply(state.OpenSession{Host: state.Host{Name: fmt.Sprintf("h%d", number), DataCentre: fmt.Sprintf("d%d", number%3)}})
+}
+
+func (fleet *fleet) upstream(number int) {
+	fleet.apply(state.SeeUpstream{Upstream: state.Upstream{
+		ID: state.UpstreamID{Service: "keyed", Name: fmt.Sprintf("u%d", number)}, DataCentre: fmt.Sprintf("d%d", number%3), Slots: 2,
+	}})
+}
+
+// lose takes an upstream out as its primary does.
+func (fleet *fleet) lose(number int) {
+	id := state.UpstreamID{Service: "keyed", Name: fmt.Sprintf("u%d", number)}
+	shard := state.DispatchShard("keyed", id.Name)
+	fleet.apply(state.LoseUpstream{
+		ID: id, Epoch: fleet.machine.Catalog.Upstreams[id].Epoch, Shard: shard, ShardEpoch: fleet.machine.Catalog.Shards[shard].Epoch,
+	})
+}
+
+// settle carries decisions out until there are none, and returns how many
+// partitions changed their owner.
+func (fleet *fleet) settle(t testing.TB) int {
+	t.Helper()
+	before := fleet.machine.Catalog.Tables["keyed"].Partitions
+	for range 1000 {
+		commands := Decide(Input{
+			Catalog: fleet.machine.Catalog, Balance: true, Expired: func(epoch uint64) bool { return fleet.dead[epoch] },
+		})
+		if len(commands) == 0 {
+			changed := 0
+			for partition, owner := range fleet.machine.Catalog.Tables["keyed"].Partitions {
+				if owner.Upstream != before[partition].Upstream {
+					changed++
+				}
+			}
+			return changed
+		}
+		for _, command := range commands {
+			fleet.apply(command)
+		}
+		fleet.release()
+	}
+	t.Fatal("decisions never end")
+	return 0
+}
+
+// release does what holders do when they are told to let go.
+func (fleet *fleet) release() {
+	catalog := fleet.machine.Catalog
+	for id, shard := range catalog.Shards {
+		_, upstream, dispatch := id.Dispatch()
+		gone := dispatch && upstream != "" && catalog.Upstreams[state.UpstreamID{Service: "keyed", Name: upstream}].Slots == 0
+		if shard.MovingTo != "" || gone && shard.Host != "" {
+			fleet.apply(state.ReleaseShards{Session: shard.Session, Shards: []state.ShardID{id}})
+		}
+	}
+	for partition, owner := range fleet.machine.Catalog.Tables["keyed"].Partitions {
+		if owner.MovingTo == "" {
+			continue
+		}
+		shard := state.DispatchShard("keyed", owner.Upstream)
+		fleet.apply(state.ReleaseSlots{
+			Service: "keyed", Shard: shard, ShardEpoch: fleet.machine.Catalog.Shards[shard].Epoch,
+			Releases: []state.SlotRelease{{Slot: state.Slot{Partition: partition}, Token: owner.Token}},
+		})
+	}
+}
+
+// owned counts partitions by upstream.
+func (fleet *fleet) owned() map[string]int {
+	owned := map[string]int{}
+	for _, owner := range fleet.machine.Catalog.Tables["keyed"].Partitions {
+		owned[owner.Upstream]++
+	}
+	return owned
+}
+
+func startFleet(t testing.TB, policy string, hosts, upstreams int) *fleet {
+	t.Helper()
+	fleet := newFleet(t, policy)
+	for number := range hosts {
+		fleet.host(number)
+	}
+	for number := range upstreams {
+		fleet.upstream(number)
+	}
+	fleet.settle(t)
+	return fleet
+}
+
+// TestChurn compares the moves that the ownership policies need when upstreams
+// come and go. The bound of the sticky policy is the least that any policy can
+// reach: what the lost upstream owned.
+func TestChurn(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(fleet *fleet)
+		// most is the bound for the sticky policy.
+		most int
+	}{
+		{"an upstream is lost", func(fleet *fleet) { fleet.lose(1) }, 64/4 + loadSlack},
+		{"an upstream joins", func(fleet *fleet) { fleet.upstream(9) }, 64 / 5},
+		{"a host joins", func(fleet *fleet) { fleet.host(9) }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sticky := startFleet(t, spec.RoutingSticky, 3, 4)
+			test.change(sticky)
+			moved := sticky.settle(t)
+			is.True(moved <= test.most)
+			rendezvous := startFleet(t, spec.RoutingRendezvous, 3, 4)
+			test.change(rendezvous)
+			t.Logf("moves: sticky %d, rendezvous %d", moved, rendezvous.settle(t))
+		})
+	}
+}
+
+// TestBalance bounds the load of the fullest upstream.
+func TestBalance(t *testing.T) {
+	is := is.New(t)
+	fleet := startFleet(t, spec.RoutingSticky, 3, 5)
+	for name, count := range fleet.owned() {
+		is.True(name != "")
+		is.True(count <= 64/5+1+loadSlack)
+	}
+}
+
+// TestDataCentreOutAndIn takes a data centre out: it has neither shards nor
+// keys afterwards, and gets its share back.
+func TestDataCentreOutAndIn(t *testing.T) {
+	is := is.New(t)
+	fleet := startFleet(t, spec.RoutingSticky, 6, 6)
+	for version, inService := range []bool{false, true} {
+		records, err := spec.ParseDocument(fmt.Appendf(nil, "[[dataCentre]]\nname = \"d1\"\nschema = 1\nversion = %d\ninService = %t\n", version+1, inService), spec.FormatTOML)
+		is.NoErr(err)
+		fleet.apply(state.ApplyRecords{Records: records})
+		fleet.settle(t)
+		held := 0
+		for _, shard := range fleet.machine.Catalog.Shards {
+			if fleet.machine.Catalog.Sessions[shard.Host].Host.DataCentre == "d1" {
+				held++
+			}
+		}
+		owned := fleet.owned()
+		is.Equal(held > 0, inService)
+		is.Equal(owned["u1"] > 0, inService)
+		is.Equal(owned["u4"] > 0, inService)
+	}
+}
+
+// TestSlowReturn gives an upstream that joins only a few partitions in a step.
+func TestSlowReturn(t *testing.T) {
+	is := is.New(t)
+	fleet := startFleet(t, spec.RoutingSticky, 3, 4)
+	fleet.upstream(9)
+	input := Input{Catalog: fleet.machine.Catalog, Balance: true, Expired: func(uint64) bool { return false }}
+	total := 0
+	for _, command := range Decide(input) {
+		if move, ok := command.(state.MoveSlots); ok {
+			total += len(move.Moves)
+		}
+	}
+	is.Equal(total, balanceSlots)
+	input.Balance = false
+	for _, command := range Decide(input) {
+		_, ok := command.(state.MoveSlots)
+		is.True(!ok) // between two steps nothing moves for balance
+	}
+}
+
+// TestShardsWaitForLease gives no shard away before its session has expired.
+func TestShardsWaitForLease(t *testing.T) {
+	is := is.New(t)
+	fleet := startFleet(t, spec.RoutingSticky, 3, 4)
+	lost := fleet.machine.Catalog.Sessions["h0"].Epoch
+	fleet.settle(t)
+	held := 0
+	for _, shard := range fleet.machine.Catalog.Shards {
+		if shard.Session == lost {
+			held++
+		}
+	}
+	is.True(held > 0) // silent, but its lease may still hold
+	fleet.dead[lost] = true
+	fleet.settle(t)
+	for _, shard := range fleet.machine.Catalog.Shards {
+		is.True(shard.Session != lost)
+		is.True(shard.Host != "")
+	}
+}
+
+// TestAlwaysServed loses and adds hosts and upstreams at random: decisions end,
+// and while there is an upstream and a host, every partition has a live owner
+// and every shard a live holder.
+func TestAlwaysServed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		policy := rapid.SampledFrom([]string{spec.RoutingSticky, spec.RoutingRendezvous}).Draw(rt, "policy")
+		fleet := startFleet(t, policy, 3, 3)
+		for range rapid.IntRange(1, 15).Draw(rt, "steps") {
+			number := rapid.IntRange(0, 5).Draw(rt, "number")
+			switch rapid.IntRange(0, 3).Draw(rt, "action") {
+			case 0:
+				// A new process of a host is one whose old session ends.
+				fleet.dead[fleet.machine.Catalog.Sessions[fmt.Sprintf("h%d", number)].Epoch] = true
+				fleet.host(number)
+			case 1:
+				if len(fleet.machine.Catalog.Sessions) > 1 {
+					fleet.dead[fleet.machine.Catalog.Sessions[fmt.Sprintf("h%d", number)].Epoch] = true
+				}
+			case 2:
+				fleet.upstream(number)
+			case 3:
+				if len(fleet.machine.Catalog.Upstreams) > 1 {
+					fleet.lose(number)
+				}
+			}
+			fleet.settle(t)
+			checkServed(rt, fleet.machine.Catalog)
+		}
+	})
+}
+
+func checkServed(t *rapid.T, catalog *state.Catalog) {
+	if len(catalog.Sessions) == 0 {
+		return
+	}
+	for partition, owner := range catalog.Tables["keyed"].Partitions {
+		if _, ok := catalog.Upstreams[state.UpstreamID{Service: "keyed", Name: owner.Upstream}]; !ok {
+			t.Fatalf("partition %d is owned by %q", partition, owner.Upstream)
+		}
+	}
+	for _, id := range neededShards(catalog) {
+		shard := catalog.Shards[id]
+		if catalog.Sessions[shard.Host].Epoch != shard.Session || shard.Host == "" {
+			t.Fatalf("shard %s is held by %q under session %d", id, shard.Host, shard.Session)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/state/state_test.go
@@ -0,0 +1,316 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/control/spec"
+)
+
+var testTime = time.Unix(5000, 0).UTC()
+
+func records(t *testing.T, document string) []spec.Record {
+	t.Helper()
+	parsed, err := spec.ParseDocument([]byte(document), spec.FormatTOML)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+func workspace(t *testing.T, name string, schema, version int, extra string) []spec.Record {
+	t.Helper()
+	return records(t, fmt.Sprintf("[[workspace]]\nname = %q\nschema = %d\nversion = %d\n%s\n", name, schema, version, extra))
+}
+
+// applyAll applies commands at the indexes from 1 on.
+func applyAll(machine *Machine, commands ...Command) []Result {
+	var results []Result
+	for _, command := range commands {
+		results = append(results, machine.Apply(machine.Catalog.Index+1, command))
+	}
+	return results
+}
+
+// TestRecordVersions races operators with equal versions, sends changes again,
+// and sends old ones after new ones.
+func TestRecordVersions(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		changes [][]spec.Record
+		want    []Outcome
+	}{
+		{"next version", [][]spec.Record{workspace(t, "a", 1, 1, ""), workspace(t, "a", 1, 2, "")}, []Outcome{OutcomeDone, OutcomeDone}},
+		{"resend", [][]spec.Record{workspace(t, "a", 1, 1, ""), workspace(t, "a", 1, 1, "")}, []Outcome{OutcomeDone, OutcomeResent}},
+		{"race with equal versions", [][]spec.Record{workspace(t, "a", 2, 1, "weight = 1"), workspace(t, "a", 2, 1, "weight = 2")}, []Outcome{OutcomeDone, OutcomeConflict}},
+		{"resend after a newer one", [][]spec.Record{workspace(t, "a", 1, 1, ""), workspace(t, "a", 1, 2, ""), workspace(t, "a", 1, 1, "")}, []Outcome{OutcomeDone, OutcomeDone, OutcomeResent}},
+		{"old version with other content", [][]spec.Record{workspace(t, "a", 2, 1, ""), workspace(t, "a", 2, 2, ""), workspace(t, "a", 2, 1, "weight = 5")}, []Outcome{OutcomeDone, OutcomeDone, OutcomeConflict}},
+		{"version left out", [][]spec.Record{workspace(t, "a", 1, 1, ""), workspace(t, "a", 1, 3, "")}, []Outcome{OutcomeDone, OutcomeConflict}},
+		{"one of two conflicts", [][]spec.Record{workspace(t, "a", 1, 1, ""), append(workspace(t, "b", 1, 1, ""), workspace(t, "a", 1, 5, "")...)}, []Outcome{OutcomeDone, OutcomeConflict}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			machine := NewMachine()
+			for position, change := range test.changes {
+				before := machine.Catalog.Records
+				result := applyAll(machine, ApplyRecords{Records: change, At: testTime})[0]
+				is.Equal(result.Outcome, test.want[position])
+				if result.Outcome != OutcomeDone {
+					is.Equal(machine.Catalog.Records, before) // nothing changed, also not in part
+				}
+			}
+		})
+	}
+}
+
+// TestTwoSchemas keeps records of both schema versions in force and reads each
+// back as it was written.
+func TestTwoSchemas(t *testing.T) {
+	is := is.New(t)
+	machine := NewMachine()
+	applyAll(machine, ApplyRecords{At: testTime, Records: records(t, `
+[[rate]]
+name = "old"
+schema = 1
+version = 1
+workspace = "a"
+perSecond = 50
+burst = 10
+[[rate]]
+name = "new"
+schema = 2
+version = 1
+workspace = "b"
+requests = 3000
+per = "1m"
+burst = 10
+`)})
+	for _, name := range []string{"a", "b"} {
+		rate, ok := machine.Catalog.Rate(name)
+		is.True(ok)
+		is.Equal(rate.PerSecond, 50.0)
+	}
+	body := string(machine.Catalog.Records[spec.ID{Kind: spec.KindRate, Name: "new"}].Body)
+	is.Equal(body, `{"burst":10,"name":"new","per":"1m","requests":3000,"schema":2,"version":1,"workspace":"b"}`)
+}
+
+// TestRestart encodes and decodes the whole state: it stays the same, records'
+// bodies, parsed specifications and ledger included.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	machine := NewMachine()
+	applyAll(machine,
+		ApplyRecords{Records: records(t, "[[service]]\nname = \"s\"\nschema = 1\nversion = 1\npartitions = 4\n"), At: testTime},
+		OpenSession{Host: Host{Name: "h"}},
+		SeeUpstream{Upstream: Upstream{ID: UpstreamID{"s", "u"}, Slots: 2, SeenAt: testTime}},
+		MoveSlots{Service: "s", Moves: []SlotMove{{Slot: Slot{Partition: 3}, To: "u"}, {Slot: Slot{Key: "hot"}, To: "u"}}},
+		MoveShards{Moves: []ShardMove{{Shard: DispatchShard("s", "u"), Host: "h"}}},
+		BeginRequest{Key: LedgerKey{"w", "s", "k"}, Attempt: "1", Shard: DispatchShard("s", "u"), ShardEpoch: 5, At: testTime},
+		StrikeRequest{Fingerprint: "f", Upstream: "u", At: testTime},
+	)
+	is.Equal(machine.Ledger.Len(), 1)
+	data, err := machine.Snapshot()
+	is.NoErr(err)
+	restored, err := RestoreMachine(data)
+	is.NoErr(err)
+	is.Equal(restored.Catalog, machine.Catalog)
+	is.Equal(restored.Ledger, machine.Ledger)
+	_, ok := restored.Catalog.Service("s")
+	is.True(ok)
+}
+
+// fleetWithSlot returns a state in which host h0 is primary of upstream u0,
+// which owns partition 0, beside another host and upstream.
+func fleetWithSlot(t *testing.T) *Machine {
+	t.Helper()
+	machine := NewMachine()
+	applyAll(machine,
+		ApplyRecords{Records: records(t, "[[service]]\nname = \"s\"\nschema = 1\nversion = 1\npartitions = 1\n"), At: testTime},
+		OpenSession{Host: Host{Name: "h0"}},
+		OpenSession{Host: Host{Name: "h1"}},
+		SeeUpstream{Upstream: Upstream{ID: UpstreamID{"s", "u0"}, Slots: 2}},
+		SeeUpstream{Upstream: Upstream{ID: UpstreamID{"s", "u1"}, Slots: 2}},
+		MoveShards{Moves: []ShardMove{{Shard: DispatchShard("s", "u0"), Host: "h0"}, {Shard: DispatchShard("s", "u1"), Host: "h1"}}},
+		MoveSlots{Service: "s", Moves: []SlotMove{{To: "u0"}}},
+	)
+	return machine
+}
+
+// TestSlotMoves checks that a slot changes hands only by its owner's release or
+// its proved loss, never by an order alone, and that tokens grow.
+func TestSlotMoves(t *testing.T) {
+	toU1 := MoveSlots{Service: "s", Moves: []SlotMove{{Token: 7, To: "u1"}}}
+	release := ReleaseSlots{Service: "s", Shard: DispatchShard("s", "u0"), ShardEpoch: 6, Releases: []SlotRelease{{Token: 7}}}
+	for _, test := range []struct {
+		name     string
+		commands []Command
+		owner    string
+		moving   string
+	}{
+		{"an order alone", []Command{toU1}, "u0", "u1"},
+		{"order and release", []Command{toU1, release}, "u1", ""},
+		{"release without an order", []Command{release}, "u0", ""},
+		{"release twice", []Command{toU1, release, release}, "u1", ""},
+		{"release of an old primary", []Command{toU1, ReleaseSlots{Service: "s", Shard: release.Shard, ShardEpoch: 5, Releases: release.Releases}}, "u0", "u1"},
+		{"release of an old token", []Command{toU1, ReleaseSlots{Service: "s", Shard: release.Shard, ShardEpoch: 6, Releases: []SlotRelease{{Token: 6}}}}, "u0", "u1"},
+		{"order with an old token", []Command{MoveSlots{Service: "s", Moves: []SlotMove{{Token: 6, To: "u1"}}}}, "u0", ""},
+		{"order to an unknown upstream", []Command{MoveSlots{Service: "s", Moves: []SlotMove{{Token: 7, To: "u9"}}}}, "u0", ""},
+		{"loss", []Command{LoseUpstream{ID: UpstreamID{"s", "u0"}, Epoch: 4, Shard: release.Shard, ShardEpoch: 6}}, "", ""},
+		{"loss during a move", []Command{toU1, LoseUpstream{ID: UpstreamID{"s", "u0"}, Epoch: 4, Shard: release.Shard, ShardEpoch: 6}}, "u1", ""},
+		{"loss of an earlier process", []Command{LoseUpstream{ID: UpstreamID{"s", "u0"}, Epoch: 3, Shard: release.Shard, ShardEpoch: 6}}, "u0", ""},
+		{"loss said by an old primary", []Command{LoseUpstream{ID: UpstreamID{"s", "u0"}, Epoch: 4, Shard: release.Shard, ShardEpoch: 5}}, "u0", ""},
+		{"loss after the session was closed", []Command{CloseSession{Host: "h0", Epoch: 2}, LoseUpstream{ID: UpstreamID{"s", "u0"}, Epoch: 4, Shard: release.Shard, ShardEpoch: 6}}, "u0", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			machine := fleetWithSlot(t)
+			applyAll(machine, test.commands...)
+			owner := machine.Catalog.Tables["s"].Partitions[0]
+			is.Equal(owner.Upstream, test.owner)
+			is.Equal(owner.MovingTo, test.moving)
+			is.True(owner.Upstream == "u0" || owner.Token > 7)
+		})
+	}
+}
+
+// TestShardMoves checks the same for shards.
+func TestShardMoves(t *testing.T) {
+	id := DispatchShard("s", "u0")
+	toH1 := MoveShards{Moves: []ShardMove{{Shard: id, Epoch: 6, Host: "h1"}}}
+	for _, test := range []struct {
+		name     string
+		commands []Command
+		host     string
+	}{
+		{"an order alone", []Command{toH1}, "h0"},
+		{"order and release", []Command{toH1, ReleaseShards{Session: 2, Shards: []ShardID{id}}}, "h1"},
+		{"release by another session", []Command{toH1, ReleaseShards{Session: 3, Shards: []ShardID{id}}}, "h0"},
+		{"release to a host that is gone", []Command{toH1, CloseSession{Host: "h1", Epoch: 3}, ReleaseShards{Session: 2, Shards: []ShardID{id}}}, ""},
+		{"new session of the holder", []Command{OpenSession{Host: Host{Name: "h0", Boot: 2}}}, "h0"},
+		{"session closed", []Command{CloseSession{Host: "h0", Epoch: 2}}, ""},
+		{"earlier session closed", []Command{OpenSession{Host: Host{Name: "h0", Boot: 2}}, CloseSession{Host: "h0", Epoch: 2}}, ""},
+		{"closed and given away", []Command{CloseSession{Host: "h0", Epoch: 2}, toH1}, "h1"},
+		{"order with an old epoch", []Command{CloseSession{Host: "h0", Epoch: 2}, MoveShards{Moves: []ShardMove{{Shard: id, Epoch: 5, Host: "h1"}}}}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			machine := fleetWithSlot(t)
+			applyAll(machine, test.commands...)
+			is.Equal(machine.Catalog.Shards[id].Host, test.host)
+		})
+	}
+}
+
+// TestLedger walks a request through its life.
+func TestLedger(t *testing.T) {
+	key := LedgerKey{"w", "s", "k"}
+	id := DispatchShard("s", "u0")
+	begin := BeginRequest{Key: key, Fingerprint: "f", Attempt: "1", Shard: id, ShardEpoch: 6, At: testTime}
+	again := begin
+	again.Attempt = "2"
+	other := again
+	other.Fingerprint = "g"
+	late := again
+	late.At = testTime.Add(LedgerAge + time.Second)
+	stale := again
+	stale.ShardEpoch = 5
+	done := FinishRequest{Key: key, Attempt: "1", Answer: Answer{Status: 201}}
+	unknown := FinishRequest{Key: key, Attempt: "1", Answer: Answer{Unknown: true}}
+	for _, test := range []struct {
+		name     string
+		commands []Command
+		want     Outcome
+	}{
+		{"first", []Command{begin}, OutcomeDone},
+		{"first repeated by its proposer", []Command{begin, begin}, OutcomeDone},
+		{"second while running", []Command{begin, again}, OutcomeInProgress},
+		{"second after the end", []Command{begin, done, again}, OutcomeFinished},
+		{"second with another body", []Command{begin, done, other}, OutcomeMismatch},
+		{"second after an unknown end", []Command{begin, unknown, again}, OutcomeUnknown},
+		{"answer that came after all", []Command{begin, unknown, done, again}, OutcomeFinished},
+		{"unknown does not undo an answer", []Command{begin, done, unknown, again}, OutcomeFinished},
+		{"second after it was dropped", []Command{begin, DropRequest{Key: key, Attempt: "1"}, again}, OutcomeDone},
+		{"drop by another attempt", []Command{begin, DropRequest{Key: key, Attempt: "9"}, again}, OutcomeInProgress},
+		{"drop after the end", []Command{begin, done, DropRequest{Key: key, Attempt: "1"}, again}, OutcomeFinished},
+		{"finish by another attempt", []Command{begin, FinishRequest{Key: key, Attempt: "9"}, again}, OutcomeInProgress},
+		{"primary lost meanwhile", []Command{
+			begin, CloseSession{Host: "h0", Epoch: 2}, MoveShards{Moves: []ShardMove{{Shard: id, Epoch: 6, Host: "h1"}}},
+			BeginRequest{Key: key, Fingerprint: "f", Attempt: "2", Shard: id, ShardEpoch: 10, At: testTime},
+		}, OutcomeUnknown},
+		{"old primary", []Command{stale}, OutcomeStale},
+		{"after its age", []Command{begin, done, late}, OutcomeDone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			results := applyAll(fleetWithSlot(t), test.commands...)
+			is.Equal(results[len(results)-1].Outcome, test.want)
+		})
+	}
+}
+
+// TestLedgerBounds fills one part of the ledger: it refuses more requests than
+// its limit, and sheds bodies, never statuses, beyond its budget.
+func TestLedgerBounds(t *testing.T) {
+	is := is.New(t)
+	machine := fleetWithSlot(t)
+	begun, full := 0, 0
+	var first LedgerKey
+	for number := 0; full == 0; number++ {
+		key := LedgerKey{"w", "s", fmt.Sprint(number)}
+		if key.Shard() != 0 {
+			continue
+		}
+		begin := BeginRequest{Key: key, Attempt: "1", Shard: DispatchShard("s", "u0"), ShardEpoch: 6, At: testTime}
+		result := applyAll(machine, begin)[0]
+		if result.Outcome == OutcomeFull {
+			full++
+			continue
+		}
+		if begun == 0 {
+			first = key
+		}
+		begun++
+		applyAll(machine, FinishRequest{Key: key, Attempt: "1", Answer: Answer{Status: 201, Body: make([]byte, 1024)}})
+	}
+	is.Equal(begun, ledgerLimit)
+	is.True(machine.Ledger.Parts[0].StoredBytes <= partBodyBudget)
+	again := BeginRequest{Key: first, Attempt: "2", Shard: DispatchShard("s", "u0"), ShardEpoch: 6, At: testTime}
+	result := applyAll(machine, again)[0]
+	is.Equal(result.Outcome, OutcomeFinished)
+	is.Equal(result.Answer.Status, 201)
+	is.Equal(result.Answer.Omitted, true)
+}
+
+// TestLossHold lets an upstream that comes and goes back in more slowly.
+func TestLossHold(t *testing.T) {
+	is := is.New(t)
+	first := Loss{At: testTime, Count: 1}
+	third := Loss{At: testTime, Count: 3}
+	is.Equal(first.Until().Sub(testTime), firstHold)
+	is.Equal(third.Until().Sub(testTime), 4*firstHold)
+	is.Equal(Loss{At: testTime, Count: 1000}.Until().Sub(testTime), maxHold)
+}
+
+// FuzzDecodeCommand feeds the decoder of log entries.
+func FuzzDecodeCommand(f *testing.F) {
+	for _, command := range []Command{
+		OpenSession{Host: Host{Name: "h"}}, MoveSlots{Service: "s", Moves: []SlotMove{{To: "u"}}},
+		FinishRequest{Answer: Answer{Status: 200, Body: []byte("b")}},
+	} {
+		data, err := EncodeCommand(command)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		command, err := DecodeCommand(data)
+		if err != nil {
+			return
+		}
+		NewMachine().Apply(1, command)
+	})
+}
