Measure slopes; make heartbeats and record changes linear

Cause: a change re-parsed every record in force and each heartbeat walked all sessions, so both grew with the square of the fleet.

Change: bench state, hosts, commits, hop with a fitted line each; the typed records are updated by what changed; the lease table looks at sessions only when the catalog changed.

--- /dev/null
+++ b/internal/bench/slope/state.go
@@ -0,0 +1,140 @@
+package slope
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/control/spec"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+const ledgerBody = 200
+
+// machineWith returns a state with one keyed service.
+func machineWith(partitions int) *state.Machine {
+	machine := state.NewMachine()
+	body := fmt.Appendf(nil, `{"name":"s","schema":1,"version":1,"partitions":%d}`, partitions)
+	apply(machine, state.ApplyRecords{Records: []spec.Record{{Kind: spec.KindService, Name: "s", Schema: 1, Version: 1, Body: body}}})
+	return machine
+}
+
+func apply(machine *state.Machine, command state.Command) state.Result {
+	return machine.Apply(machine.Catalog.Index+1, command)
+}
+
+// Partitions measures the memory of an ownership table.
+func Partitions() Line {
+	var points []Point
+	for _, count := range []int{1 << 12, 1 << 13, 1 << 14, 1 << 15, 1 << 16} {
+		points = append(points, Point{float64(count), grown(func() any { return machineWith(count) })})
+	}
+	return fit("ownership table", "bytes", "partition", points)
+}
+
+// HotKeys measures the memory of keys that are owned apart from their
+// partition.
+func HotKeys() Line {
+	var points []Point
+	for _, count := range []int{100, 200, 400, 800} {
+		points = append(points, Point{float64(count), grown(func() any {
+			machine := machineWith(1)
+			apply(machine, state.SeeUpstream{Upstream: state.Upstream{ID: state.UpstreamID{Service: "s", Name: "u"}}})
+			var moves []state.SlotMove
+			for number := range count {
+				moves = append(moves, state.SlotMove{Slot: state.Slot{Key: "key-" + strconv.Itoa(number)}, To: "u"})
+			}
+			apply(machine, state.MoveSlots{Service: "s", Moves: moves})
+			return machine
+		})})
+	}
+	return fit("hot keys", "bytes", "key", points)
+}
+
+// CallerKeys measures the memory of caller keys.
+func CallerKeys() Line {
+	var points []Point
+	for _, count := range []int{500, 1000, 2000, 4000} {
+		points = append(points, Point{float64(count), grown(func() any {
+			machine := state.NewMachine()
+			apply(machine, state.ApplyRecords{Records: callerKeys(count)})
+			return machine
+		})})
+	}
+	return fit("caller keys", "bytes", "key", points)
+}
+
+func callerKeys(count int) []spec.Record {
+	var records []spec.Record
+	for number := range count {
+		name := "key-" + strconv.Itoa(number)
+		body := fmt.Appendf(nil, `{"name":%q,"schema":1,"version":1,"workspace":"w","hash":"%064d"}`, name, number)
+		records = append(records, spec.Record{Kind: spec.KindCallerKey, Name: name, Schema: 1, Version: 1, Body: body})
+	}
+	return records
+}
+
+// ApplyRecord measures the processor time of one record's change, by the number
+// of records in force.
+func ApplyRecord() Line {
+	const changes = 20
+	var points []Point
+	for _, count := range []int{500, 1000, 2000, 4000} {
+		machine := state.NewMachine()
+		apply(machine, state.ApplyRecords{Records: callerKeys(count)})
+		time := spent(func() {
+			for version := range changes {
+				body := fmt.Appendf(nil, `{"name":"w","schema":1,"version":%d}`, version+1)
+				record := spec.Record{Kind: spec.KindWorkspace, Name: "w", Schema: 1, Version: uint64(version + 1), Body: body}
+				apply(machine, state.ApplyRecords{Records: []spec.Record{record}})
+			}
+		})
+		points = append(points, Point{float64(count), time.Seconds() * 1e6 / changes})
+	}
+	return fit("change of a record", "microseconds", "record in force", points)
+}
+
+// Ledger measures the memory of requests that the ledger remembers.
+func Ledger() Line {
+	var points []Point
+	for _, count := range []int{10000, 20000, 40000, 80000} {
+		points = append(points, Point{float64(count), grown(func() any {
+			machine := ledgerMachine()
+			fillLedger(machine, count)
+			return machine
+		})})
+	}
+	return fit("ledger", "bytes", "request", points)
+}
+
+func ledgerMachine() *state.Machine {
+	machine := state.NewMachine()
+	apply(machine, state.OpenSession{Host: state.Host{Name: "h"}})
+	apply(machine, state.MoveShards{Moves: []state.ShardMove{{Shard: "dispatch/s", Host: "h"}}})
+	return machine
+}
+
+func fillLedger(machine *state.Machine, count int) {
+	at := time.Unix(1000, 0)
+	for number := range count {
+		key := state.LedgerKey{Workspace: "w", Service: "s", Key: "request-" + strconv.Itoa(number)}
+		apply(machine, state.BeginRequest{
+			Key: key, Fingerprint: fmt.Sprintf("%032d", number), Attempt: fmt.Sprintf("%036d", number),
+			Shard: "dispatch/s", ShardEpoch: 2, At: at,
+		})
+		apply(machine, state.FinishRequest{Key: key, Attempt: fmt.Sprintf("%036d", number), Answer: state.Answer{
+			Status: 200, Body: make([]byte, ledgerBody),
+		}})
+	}
+}
+
+// LedgerWork measures the processor time of entering and finishing requests.
+func LedgerWork() Line {
+	var points []Point
+	for _, count := range []int{10000, 20000, 40000, 80000} {
+		machine := ledgerMachine()
+		time := spent(func() { fillLedger(machine, count) })
+		points = append(points, Point{float64(count), time.Seconds() * 1e6})
+	}
+	return fit("ledger work", "microseconds", "request", points)
+}
--- a/internal/control/state/catalog.go
+++ b/internal/control/state/catalog.go
@@ -29,17 +29,6 @@
 	specs specs
 }
 
-// specs are the parsed records by kind.
-type specs struct {
-	services    map[string]spec.Service
-	workspaces  map[string]spec.Workspace
-	callerKeys  map[string]spec.CallerKey
-	rates       map[string]spec.Rate
-	policies    map[string]spec.Policy
-	dataCentres map[string]spec.DataCentre
-	upstreams   map[string]spec.Upstream
-}
-
 // Service returns a service's specification.
 func (catalog *Catalog) Service(name string) (spec.Service, bool) {
 	service, ok := catalog.specs.services[name]
@@ -227,65 +216,17 @@
 	}
 	catalog.Records = records
 	catalog.History = history
-	catalog.parseRecords()
+	catalog.specs = catalog.specs.updated(command.Records, records)
+	catalog.fitTables()
 }
 
 // parseRecords builds the typed view of all records and an ownership table for
 // each service whose keys are divided.
 func (catalog *Catalog) parseRecords() {
-	parsed := specs{
-		services:    map[string]spec.Service{},
-		workspaces:  map[string]spec.Workspace{},
-		callerKeys:  map[string]spec.CallerKey{},
-		rates:       map[string]spec.Rate{},
-		policies:    map[string]spec.Policy{},
-		dataCentres: map[string]spec.DataCentre{},
-		upstreams:   map[string]spec.Upstream{},
-	}
-	for _, record := range catalog.Records {
-		if record.Deleted {
-			continue
-		}
-		content, err := record.Parse()
-		if err != nil {
-			continue
-		}
-		parsed.add(content)
-	}
-	catalog.specs = parsed
+	catalog.specs = specs{}.updated(slices.Collect(maps.Values(catalog.Records)), catalog.Records)
 	catalog.fitTables()
 }
 
-func (specs *specs) add(content spec.Spec) {
-	switch content := content.(type) {
-	case spec.Service:
-		specs.services[content.Name] = content
-	case spec.Workspace:
-		specs.workspaces[content.Name] = content
-	case spec.CallerKey:
-		specs.callerKeys[content.Name] = content
-	case spec.Rate:
-		// Of two rates for one workspace the stricter one counts.
-		present, ok := specs.rates[content.Workspace]
-		if !ok || stricter(content, present) {
-			specs.rates[content.Workspace] = content
-		}
-	case spec.Policy:
-		specs.policies[content.Name] = content
-	case spec.DataCentre:
-		specs.dataCentres[content.Name] = content
-	case spec.Upstream:
-		specs.upstreams[content.Name] = content
-	}
-}
-
-func stricter(left, right spec.Rate) bool {
-	if left.PerSecond != right.PerSecond {
-		return left.PerSecond < right.PerSecond
-	}
-	return left.Name < right.Name
-}
-
 // fitTables creates the tables of new services. The number of partitions is
 // fixed once a table exists, since another one would move every key at once.
 func (catalog *Catalog) fitTables() {
--- a/internal/peer/beats/keeper.go
+++ b/internal/peer/beats/keeper.go
@@ -1,7 +1,6 @@
 package beats
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +44,8 @@
 	leases  map[uint64]renewal
 	samples []sample
 	term    uint64
+	// seen is the catalog whose sessions are all in the table.
+	seen *state.Catalog
 }
 
 // NewKeeper returns a keeper without leases.
@@ -117,8 +118,14 @@
 		keeper.term = status.Term
 		keeper.leases = map[uint64]renewal{}
 		keeper.samples = nil
+		keeper.seen = nil
 	}
+	keeper.dropSamples(now)
 	catalog := keeper.leader.Catalog()
+	if catalog == keeper.seen {
+		return
+	}
+	keeper.seen = catalog
 	for name, session := range catalog.Sessions {
 		if _, ok := keeper.leases[session.Epoch]; !ok {
 			keeper.leases[session.Epoch] = renewal{host: name, at: now}
@@ -127,7 +134,6 @@
 	if count := len(keeper.samples); count == 0 || keeper.samples[count-1].index != catalog.Index {
 		keeper.samples = append(keeper.samples, sample{at: now, index: catalog.Index})
 	}
-	keeper.dropSamples(now)
 }
 
 // dropSamples keeps the latest sample that is old enough, and all after it.
@@ -136,7 +142,7 @@
 	for old+1 < len(keeper.samples) && now.Sub(keeper.samples[old+1].at) >= FreshWithin {
 		old++
 	}
-	keeper.samples = slices.Clone(keeper.samples[old:])
+	keeper.samples = keeper.samples[old:]
 }
 
 // required is the index that a host must have applied.
