Shrink heartbeats, cut the cost of a request, keep carved keys until they rest

Cause: heartbeats to all control hosts cost 4.3 KB/s a daemon; each request rebuilt field sets, sorted and made timers; and a key that got a slot of its own while a request for it ran under its partition was given away before that request had ended (found by a repeated test run under the race detector).

Change: compact signed heartbeats to the leader only, to all while it is not known; fixed field sets; one timer per shard; a slot is busy if a running request's key is in it now.

--- a/internal/bench/slope/hosts.go
+++ b/internal/bench/slope/hosts.go
@@ -72,7 +72,7 @@
 			})
 			hostTime += spent(func() {
 				for number, pulse := range pulses {
-					pulse.Receive(answers[number])
+					pulse.Receive(netip.AddrPort{}, answers[number])
 				}
 			})
 			bytes = len(datagrams[0]) + len(answers[0])
--- a/internal/bench/slope/state.go
+++ b/internal/bench/slope/state.go
@@ -19,8 +19,8 @@
 	return machine
 }
 
-func apply(machine *state.Machine, command state.Command) state.Result {
-	return machine.Apply(machine.Catalog.Index+1, command)
+func apply(machine *state.Machine, command state.Command) {
+	machine.Apply(machine.Catalog.Index+1, command)
 }
 
 // Partitions measures the memory of an ownership table.
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -53,8 +53,8 @@
 
 // leavingSlot tells whether the request's key is moving to another upstream.
 func (shard *Shard) leavingSlot(work *run) bool {
-	owner, ok := shard.env.Catalog().Tables[shard.service].Get(work.slot)
-	return ok && shard.upstream != "" && owner.MovingTo != ""
+	_, owner := shard.env.Catalog().Tables[shard.service].Find(work.request.Key)
+	return shard.upstream != "" && owner.MovingTo != ""
 }
 
 // learn updates what the primary knows of the upstream's speed.
--- a/internal/dispatch/shard/grant.go
+++ b/internal/dispatch/shard/grant.go
@@ -163,10 +163,13 @@
 	return xxhash.Sum64(append(numbers[:], slot.Key...))
 }
 
-// busy tells whether a request for the slot is running.
+// busy tells whether a request is running whose key is in the slot now, or was
+// when it was sent: a key may have got a slot of its own meanwhile.
 func (shard *Shard) busy(slot state.Slot) bool {
+	table := shard.env.Catalog().Tables[shard.service]
 	for run := range shard.running {
-		if run.open > 0 && run.slot == slot {
+		present, _ := table.Find(run.request.Key)
+		if run.open > 0 && (run.slot == slot || present == slot) {
 			return true
 		}
 	}
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -212,6 +212,8 @@
 	// hedgeBudget is the number of requests that may be sent twice now.
 	hedgeBudget float64
 	turn        int
+	// swept is when deadlines, grants and hedges were last looked at.
+	swept time.Time
 	// stopping is why no new work is taken, or empty.
 	stopping  calls.Reason
 	releasing bool
@@ -330,11 +332,12 @@
 	defer close(shard.done)
 	defer shard.cancel()
 	shard.follow()
+	timer := shard.env.Clock.NewTimer(0)
+	defer timer.Stop()
+	due := shard.env.Clock.Now()
 	for {
-		timer := shard.env.Clock.NewTimer(shard.pause())
 		select {
 		case <-shard.stop:
-			timer.Stop()
 			shard.refuseWaiting(calls.ReasonHostStopping)
 			return
 		case message := <-shard.inbox:
@@ -344,10 +347,15 @@
 			shard.follow()
 		case <-timer.Chan():
 		}
-		timer.Stop()
 		if shard.turnOver() {
 			return
 		}
+		// The timer is only set anew where it would fire too late or has fired.
+		now := shard.env.Clock.Now()
+		if next := now.Add(shard.pause()); !due.After(now) || next.Before(due) {
+			due = next
+			timer.Reset(due.Sub(now))
+		}
 	}
 }
 
@@ -391,14 +399,29 @@
 // turnOver does what is due and tells whether the task has ended.
 func (shard *Shard) turnOver() bool {
 	now := shard.env.Clock.Now()
-	shard.expire(now)
-	shard.renewGrants(now)
-	shard.hedge(now)
+	if now.Sub(shard.swept) >= busyTurn {
+		shard.swept = now
+		shard.expire(now)
+		shard.renewGrants(now)
+		shard.hedge(now)
+	} else if shard.urgent() {
+		shard.renewGrants(now)
+	}
 	shard.dispatch(now)
 	shard.handOver()
 	return shard.ended()
 }
 
+// urgent tells whether a grant is to be renewed at once.
+func (shard *Shard) urgent() bool {
+	for _, target := range shard.targets {
+		if target.grants.urgent && !target.grants.pending {
+			return true
+		}
+	}
+	return false
+}
+
 // pause is how long the loop may sleep.
 func (shard *Shard) pause() time.Duration {
 	for _, lane := range shard.lanes {
--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -179,34 +179,38 @@
 	return refused, true
 }
 
-// hopFields are the fields that concern one connection only.
-func hopFields() []string {
-	return []string{
+// FieldSet is a set of header fields' names in canonical form.
+type FieldSet map[string]bool
+
+// NewFieldSet returns a set of the names and of the fields that concern one
+// connection only.
+func NewFieldSet(names ...string) FieldSet {
+	set := FieldSet{}
+	hop := []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 	}
+	for _, name := range slices.Concat(hop, names) {
+		set[http.CanonicalHeaderKey(name)] = true
+	}
+	return set
 }
 
+// droppedFromAnswers are the fields of an answer that callers do not see.
+var droppedFromAnswers = NewFieldSet(HeaderOutcome)
+
 // answerHeader returns the fields that go on to the caller.
 func answerHeader(header http.Header) []state.HeaderField {
-	return EndToEnd(header, []string{HeaderOutcome})
+	return EndToEnd(header, droppedFromAnswers)
 }
 
-// EndToEnd returns the header's fields in order of their names, without those
-// that concern one connection and without the names in drop.
-func EndToEnd(header http.Header, drop []string) []state.HeaderField {
-	dropped := map[string]bool{}
-	for _, name := range slices.Concat(hopFields(), drop) {
-		dropped[http.CanonicalHeaderKey(name)] = true
-	}
-	for _, list := range header.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	var fields []state.HeaderField
+// EndToEnd returns the header's fields, sorted by name, without those in the
+// set and without those that the Connection field names.
+func EndToEnd(header http.Header, dropped FieldSet) []state.HeaderField {
+	named := connectionFields(header)
+	fields := make([]state.HeaderField, 0, len(header))
 	for name, values := range header {
-		if dropped[http.CanonicalHeaderKey(name)] {
+		if dropped[name] || named[name] {
 			continue
 		}
 		for _, value := range values {
@@ -219,6 +223,21 @@
 	return fields
 }
 
+// connectionFields returns the names that the Connection field lists.
+func connectionFields(header http.Header) FieldSet {
+	lists := header["Connection"]
+	if len(lists) == 0 {
+		return nil
+	}
+	named := FieldSet{}
+	for _, list := range lists {
+		for name := range strings.SplitSeq(list, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
 // Grant sends a grant and returns the upstream's answer.
 func (client *Client) Grant(ctx context.Context, address netip.AddrPort, grant Grant) (GrantAck, error) {
 	data, err := json.Marshal(grant)
--- a/internal/entry/front/auth.go
+++ b/internal/entry/front/auth.go
@@ -24,13 +24,11 @@
 
 // strippedHeaders are the caller's fields that no upstream sees: keys, and the
 // fields that the system sets itself.
-func strippedHeaders() []string {
-	return []string{
-		headerAuthorization, headerKey, headerIdempotencyKey, "Cookie", "Forwarded", "X-Forwarded-For",
-		upstr.HeaderWorkspace, upstr.HeaderToken, upstr.HeaderEpoch, upstr.HeaderDeadline,
-		upstr.HeaderRequestID, upstr.HeaderOutcome, headerTimeout,
-	}
-}
+var strippedHeaders = upstr.NewFieldSet(
+	headerAuthorization, headerKey, headerIdempotencyKey, "Cookie", "Forwarded", "X-Forwarded-For",
+	upstr.HeaderWorkspace, upstr.HeaderToken, upstr.HeaderEpoch, upstr.HeaderDeadline,
+	upstr.HeaderRequestID, upstr.HeaderOutcome, headerTimeout,
+)
 
 // FormatKey joins a key's name and secret as callers present them.
 func FormatKey(name, secret string) string { return keyPrefix + name + "_" + secret }
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -189,7 +189,7 @@
 	if len(work.IdempotencyKey) > maxIdempotencyKey {
 		return service, malformed("the idempotency key is too long")
 	}
-	work.Header = upstr.EndToEnd(request.Header, strippedHeaders())
+	work.Header = upstr.EndToEnd(request.Header, strippedHeaders)
 	work.Remaining = service.Timeout
 	if text := request.Header.Get(headerTimeout); text != "" {
 		seconds, err := strconv.ParseFloat(text, 64)
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -163,7 +163,7 @@
 func (host *Host) startPeers() error {
 	settings := host.options.Settings
 	var err error
-	host.links, err = links.NewClient(host.options.Secret, func(data []byte) { host.pulse.Receive(data) })
+	host.links, err = links.NewClient(host.options.Secret, func(from netip.AddrPort, data []byte) { host.pulse.Receive(from, data) })
 	if err != nil {
 		return Error.New("start links: %w", err)
 	}
--- a/internal/fleet/host/session.go
+++ b/internal/fleet/host/session.go
@@ -21,15 +21,14 @@
 	sessionSettle = 2 * time.Second
 )
 
-// beat sends heartbeats to all control hosts; the leader answers.
+// beat sends heartbeats to the control leader, or to all control hosts while
+// the leader is not known; only the leader answers.
 func (host *Host) beat() {
 	ticker := host.options.Clock.NewTicker(beats.Interval)
 	defer ticker.Stop()
 	for {
 		if datagram := host.pulse.Next(); datagram != nil {
-			for _, address := range host.options.Settings.Control.Heartbeats {
-				_ = host.links.Send(address, datagram)
-			}
+			host.sendBeat(datagram)
 		}
 		select {
 		case <-host.stop:
@@ -39,6 +38,16 @@
 	}
 }
 
+func (host *Host) sendBeat(datagram []byte) {
+	if leader, known := host.pulse.Leader(); known {
+		_ = host.links.Send(leader, datagram)
+		return
+	}
+	for _, address := range host.options.Settings.Control.Heartbeats {
+		_ = host.links.Send(address, datagram)
+	}
+}
+
 // keepSession opens a session whenever the host has none.
 func (host *Host) keepSession() {
 	ticker := host.options.Clock.NewTicker(sessionPoll)
--- a/internal/fleet/host/stop.go
+++ b/internal/fleet/host/stop.go
@@ -128,10 +128,11 @@
 	if host.steward != nil {
 		host.steward.Close()
 	}
-	host.tasks.Wait()
 	if host.client != nil {
+		// Ends the fetch that may be waiting for news.
 		host.client.Close()
 	}
+	host.tasks.Wait()
 	if host.upstream != nil {
 		host.upstream.Close()
 	}
--- a/internal/peer/beats/beats.go
+++ b/internal/peer/beats/beats.go
@@ -3,6 +3,7 @@
 package beats
 
 import (
+	"crypto/hmac"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -16,7 +17,7 @@
 
 const (
 	// Interval is the time between a host's heartbeats.
-	Interval = 80 * time.Millisecond
+	Interval = 90 * time.Millisecond
 	// Lease is how long a host may act after it sent a heartbeat that the
 	// leader accepted.
 	Lease = 400 * time.Millisecond
@@ -28,14 +29,16 @@
 	FreshWithin = 2 * time.Second
 	// maxDatagram bounds a heartbeat in bytes.
 	maxDatagram = 512
+	// proofSize is the part of a proof that a datagram carries, in bytes.
+	proofSize = 16
 )
 
 // Beat is a host's heartbeat.
 type Beat struct {
-	Host string
-	// Epoch is the session's epoch, Boot the process's number.
+	_ struct{} `cbor:",toarray"`
+	// Epoch is the session's epoch, which names the process: a process only
+	// uses the session that its own number opened.
 	Epoch uint64
-	Boot  uint64
 	// Sequence grows with each heartbeat of a process.
 	Sequence uint64
 	// Applied is the index of the host's catalog.
@@ -43,21 +46,20 @@
 }
 
 // Refusal is why a heartbeat did not renew a lease.
-type Refusal string
+type Refusal uint8
 
 const (
 	// RefusalNone is the refusal of an accepted heartbeat.
-	RefusalNone Refusal = ""
+	RefusalNone Refusal = 0
 	// RefusalNoSession means that the session is not the host's present one.
-	RefusalNoSession Refusal = "noSession"
+	RefusalNoSession Refusal = 1
 	// RefusalBehind means that the host's configuration is too old.
-	RefusalBehind Refusal = "configurationTooOld"
+	RefusalBehind Refusal = 2
 )
 
 // Ack is the leader's answer to a heartbeat.
 type Ack struct {
-	Host     string
-	Boot     uint64
+	_        struct{} `cbor:",toarray"`
 	Epoch    uint64
 	Sequence uint64
 	// Index is the leader's catalog index.
@@ -71,16 +73,16 @@
 	if err != nil {
 		return nil, Error.New("seal: %w", err)
 	}
-	return append(secret.Proof(purpose, body), body...), nil
+	return append(secret.Proof(purpose, body)[:proofSize], body...), nil
 }
 
 // open checks the proof and decodes the value.
 func open(secret trust.Secret, purpose trust.Purpose, datagram []byte, target any) error {
-	if len(datagram) <= trust.ProofSize || len(datagram) > maxDatagram {
+	if len(datagram) <= proofSize || len(datagram) > maxDatagram {
 		return Error.New("datagram of %d bytes is no heartbeat", len(datagram))
 	}
-	body := datagram[trust.ProofSize:]
-	if !secret.Check(datagram[:trust.ProofSize], purpose, body) {
+	body := datagram[proofSize:]
+	if !hmac.Equal(datagram[:proofSize], secret.Proof(purpose, body)[:proofSize]) {
 		return Error.New("datagram does not carry the cluster's proof")
 	}
 	if err := codec.Unmarshal(body, target); err != nil {
--- a/internal/peer/beats/keeper.go
+++ b/internal/peer/beats/keeper.go
@@ -80,17 +80,15 @@
 	keeper.observe()
 	now := keeper.clock.Now()
 	catalog := keeper.leader.Catalog()
-	ack := Ack{Host: beat.Host, Boot: beat.Boot, Epoch: beat.Epoch, Sequence: beat.Sequence, Index: catalog.Index}
-	session, ok := catalog.Sessions[beat.Host]
-	if !ok || session.Epoch != beat.Epoch || session.Host.Boot != beat.Boot {
+	ack := Ack{Epoch: beat.Epoch, Sequence: beat.Sequence, Index: catalog.Index}
+	lease, known := keeper.leases[beat.Epoch]
+	if !known || catalog.Sessions[lease.host].Epoch != beat.Epoch {
 		ack.Refusal = RefusalNoSession
 		return ack, true
 	}
-	lease := keeper.leases[beat.Epoch]
 	if beat.Sequence <= lease.sequence {
 		return Ack{}, false
 	}
-	lease.host = beat.Host
 	lease.sequence = beat.Sequence
 	lease.applied = max(lease.applied, beat.Applied)
 	if beat.Applied < keeper.required(now) {
--- a/internal/peer/beats/pulse.go
+++ b/internal/peer/beats/pulse.go
@@ -1,6 +1,7 @@
 package beats
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,9 @@
 	mutex    sync.Mutex
 	sequence uint64
 	sent     map[uint64]time.Time
+	// answered is the latest heartbeat that was answered, by source.
+	answered uint64
+	source   netip.AddrPort
 }
 
 // NewPulse returns a pulse without a lease.
@@ -61,10 +65,7 @@
 	pulse.mutex.Lock()
 	defer pulse.mutex.Unlock()
 	pulse.sequence++
-	beat := Beat{
-		Host: pulse.host, Epoch: epoch, Boot: pulse.boot,
-		Sequence: pulse.sequence, Applied: pulse.catalog().Index,
-	}
+	beat := Beat{Epoch: epoch, Sequence: pulse.sequence, Applied: pulse.catalog().Index}
 	datagram, err := seal(pulse.secret, trust.PurposeHeartbeat, beat)
 	if err != nil {
 		return nil
@@ -74,18 +75,20 @@
 	return datagram
 }
 
-// Receive handles an answer. The lease counts from when the heartbeat left.
-func (pulse *Pulse) Receive(datagram []byte) {
+// Receive handles an answer of a control host. The lease counts from when the
+// heartbeat left.
+func (pulse *Pulse) Receive(from netip.AddrPort, datagram []byte) {
 	var ack Ack
 	if err := open(pulse.secret, trust.PurposeHeartbeatBack, datagram, &ack); err != nil {
 		return
 	}
-	if ack.Host != pulse.host || ack.Boot != pulse.boot {
-		return
-	}
 	pulse.mutex.Lock()
 	sentAt, ok := pulse.sent[ack.Sequence]
 	delete(pulse.sent, ack.Sequence)
+	if ok {
+		pulse.answered = max(pulse.answered, ack.Sequence)
+		pulse.source = from
+	}
 	pulse.mutex.Unlock()
 	if !ok {
 		return
@@ -97,6 +100,14 @@
 	}
 }
 
+// Leader returns the control host that answered the heartbeat before the last
+// one or a later one, or false where the leader is not known.
+func (pulse *Pulse) Leader() (netip.AddrPort, bool) {
+	pulse.mutex.Lock()
+	defer pulse.mutex.Unlock()
+	return pulse.source, pulse.source.IsValid() && pulse.answered+1 >= pulse.sequence
+}
+
 func (pulse *Pulse) raiseLeaderIndex(index uint64) {
 	for {
 		present := pulse.leader.Load()
--- a/internal/peer/fetch/fetch.go
+++ b/internal/peer/fetch/fetch.go
@@ -18,7 +18,7 @@
 
 const (
 	// wait is how long a control host holds a fetch that finds no news.
-	wait       = 400 * time.Millisecond
+	wait       = time.Second
 	retryPause = 30 * time.Millisecond
 	// logPrefix starts each line that this package logs.
 	logPrefix = "configuration: "
--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -29,7 +29,7 @@
 
 	secret   trust.Secret
 	engine   *gnet.Client
-	datagram func(data []byte)
+	datagram func(from netip.AddrPort, data []byte)
 	mutex    sync.Mutex
 	links    map[netip.AddrPort]*outbound
 	sockets  map[netip.AddrPort]gnet.Conn
@@ -52,7 +52,7 @@
 
 // NewClient starts the client's event loop. Datagrams that come back go to the
 // function.
-func NewClient(secret trust.Secret, datagram func(data []byte)) (*Client, error) {
+func NewClient(secret trust.Secret, datagram func(from netip.AddrPort, data []byte)) (*Client, error) {
 	client := &Client{
 		secret: secret, datagram: datagram,
 		links: map[netip.AddrPort]*outbound{}, sockets: map[netip.AddrPort]gnet.Conn{},
@@ -276,13 +276,16 @@
 
 // OnTraffic reads the frames or datagrams that come back.
 func (client *Client) OnTraffic(conn gnet.Conn) gnet.Action {
-	link, ok := conn.Context().(*outbound)
-	if !ok {
+	if from, ok := conn.Context().(netip.AddrPort); ok {
 		if data, err := conn.Next(-1); err == nil && client.datagram != nil {
-			client.datagram(append([]byte(nil), data...))
+			client.datagram(from, append([]byte(nil), data...))
 		}
 		return gnet.None
 	}
+	link, ok := conn.Context().(*outbound)
+	if !ok {
+		return gnet.Close
+	}
 	limit := MaxFrame
 	if !link.isReady {
 		limit = maxGreeting
