Tell stragglers from cold upstreams, and relieve upstreams under pressure

A run of slow answers was taken for a cold start, which held the straggler to the cold rate; its keys stayed with it; and requests in the queue for keys that were moving away waited for a slot to be refused. Ruled out: queue discipline (FIFO fares the same) and routing policy (it concerns only the service without divided keys).

Change: an upstream that stays slow at the cold rate is a straggler and not held to that rate; after 0.4 s of waiting over 60 ms its primary moves keys away, from a straggler the busiest, from a full one all but the busiest, and marks it so that balance gives it none before 5 s of calm; requests for moving keys leave the queue at once; a request's patience with moves counts from the first of them.

--- a/internal/bench/scene/fault.go
+++ b/internal/bench/scene/fault.go
@@ -141,9 +141,13 @@
 	return last
 }
 
+// slowedKey is a frequent key: its owner becomes the straggler, so that runs
+// compare whatever upstream that is.
+const slowedKey = "key-1"
+
 // straggle slows one upstream of each service.
 func (scene *Scene) straggle() func() error {
-	slowed := []int{0, scene.options.User.KeyedUpstreams + 1}
+	slowed := []int{scene.ownerOf(slowedKey), scene.options.User.KeyedUpstreams + 1}
 	for _, number := range slowed {
 		scene.Fleet.Upstreams[number].Slow(stragglerFactor)
 	}
@@ -155,6 +159,17 @@
 	}
 }
 
+// ownerOf returns the number of the upstream that owns a key.
+func (scene *Scene) ownerOf(key string) int {
+	_, owner := scene.Table().Find(key)
+	for number, upstream := range scene.Fleet.Upstreams {
+		if upstream.Name() == owner.Upstream {
+			return number
+		}
+	}
+	return 0
+}
+
 // takeOut takes the second data centre out of service.
 func (scene *Scene) takeOut(ctx context.Context) (func() error, error) {
 	name := scene.options.User.DataCentres[1]
--- a/internal/control/plan/plan.go
+++ b/internal/control/plan/plan.go
@@ -255,7 +255,7 @@
 	if ownershipPolicy(input.Catalog, service) == spec.RoutingRendezvous {
 		moves = rendezvousMoves(table, upstreams)
 	} else {
-		moves = stickyMoves(table, upstreams, input.Balance)
+		moves = stickyMoves(table, upstreams, takers(input.Catalog, service, upstreams), input.Balance)
 	}
 	if len(moves) == 0 {
 		return nil
@@ -263,6 +263,21 @@
 	return []state.Command{state.MoveSlots{Service: service, Moves: moves}}
 }
 
+// takers returns the upstreams that may get more keys: all that are not full,
+// or all if every one is.
+func takers(catalog *state.Catalog, service string, upstreams []string) []string {
+	var open []string
+	for _, name := range upstreams {
+		if !catalog.Upstreams[state.UpstreamID{Service: service, Name: name}].Full {
+			open = append(open, name)
+		}
+	}
+	if len(open) == 0 {
+		return upstreams
+	}
+	return open
+}
+
 func eligibleUpstreams(catalog *state.Catalog, service string) []string {
 	var names []string
 	for _, upstream := range catalog.UpstreamsOf(service) {
--- a/internal/control/plan/slots.go
+++ b/internal/control/plan/slots.go
@@ -39,9 +39,9 @@
 }
 
 // stickyMoves moves only slots that have to: those without an owner and those
-// whose owner is leaving, each to the upstream with the fewest. Moves for
-// balance come a few at a time, and only from upstreams above the mean.
-func stickyMoves(table state.Table, upstreams []string, balance bool) []state.SlotMove {
+// whose owner is leaving, each to the taker with the fewest. Moves for balance
+// come a few at a time, and only from upstreams above the mean.
+func stickyMoves(table state.Table, upstreams, takers []string, balance bool) []state.SlotMove {
 	owned := map[string]int{}
 	for _, name := range upstreams {
 		owned[name] = 0
@@ -57,12 +57,12 @@
 		if _, ok := owned[slot.goesTo()]; ok {
 			continue
 		}
-		target := fewest(owned, upstreams)
+		target := fewest(owned, takers)
 		owned[target]++
 		moves = append(moves, slot.moveTo(target))
 	}
 	if balance && len(moves) == 0 {
-		moves = balanceMoves(slots, owned, upstreams)
+		moves = balanceMoves(slots, owned, takers)
 	}
 	return moves
 }
@@ -73,8 +73,8 @@
 
 // balanceMoves takes partitions from upstreams that own more than the mean
 // and the slack allow, and gives each upstream only a few at a time. Single keys stay: they were placed on purpose.
-func balanceMoves(slots []slotOwner, owned map[string]int, upstreams []string) []state.SlotMove {
-	limit := (len(slots)+len(upstreams)-1)/len(upstreams) + loadSlack
+func balanceMoves(slots []slotOwner, owned map[string]int, takers []string) []state.SlotMove {
+	limit := (len(slots)+len(owned)-1)/len(owned) + loadSlack
 	gained := map[string]int{}
 	var moves []state.SlotMove
 	for _, slot := range slots {
@@ -82,7 +82,7 @@
 		if slot.slot.Key != "" || slot.owner.MovingTo != "" || owned[source] <= limit {
 			continue
 		}
-		target := fewest(owned, upstreams)
+		target := fewest(owned, takers)
 		if owned[target]+1 >= owned[source] || gained[target] == balanceSlots {
 			break
 		}
--- a/internal/control/state/catalog.go
+++ b/internal/control/state/catalog.go
@@ -141,6 +141,8 @@
 		next.removeShards(command)
 	case SeeUpstream:
 		next.seeUpstream(index, command)
+	case MarkUpstream:
+		next.markUpstream(command)
 	case LoseUpstream:
 		result = next.loseUpstream(index, command)
 	case MoveSlots:
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -56,6 +56,13 @@
 // SeeUpstream enters or renews an announced upstream.
 type SeeUpstream struct{ Upstream Upstream }
 
+// MarkUpstream says whether an upstream's primary wants no more keys for it.
+type MarkUpstream struct {
+	ID    UpstreamID
+	Epoch uint64
+	Full  bool
+}
+
 // LoseUpstream takes an upstream out after its grants have surely ended. Only
 // the holder of its dispatch shard may say so.
 type LoseUpstream struct {
@@ -137,6 +144,7 @@
 func (ReleaseShards) command()  {}
 func (RemoveShards) command()   {}
 func (SeeUpstream) command()    {}
+func (MarkUpstream) command()   {}
 func (LoseUpstream) command()   {}
 func (MoveSlots) command()      {}
 func (ReleaseSlots) command()   {}
@@ -158,6 +166,7 @@
 	kindReleaseShards  commandKind = "releaseShards"
 	kindRemoveShards   commandKind = "removeShards"
 	kindSeeUpstream    commandKind = "seeUpstream"
+	kindMarkUpstream   commandKind = "markUpstream"
 	kindLoseUpstream   commandKind = "loseUpstream"
 	kindMoveSlots      commandKind = "moveSlots"
 	kindReleaseSlots   commandKind = "releaseSlots"
@@ -186,6 +195,8 @@
 		return kindRemoveShards
 	case SeeUpstream:
 		return kindSeeUpstream
+	case MarkUpstream:
+		return kindMarkUpstream
 	case LoseUpstream:
 		return kindLoseUpstream
 	case MoveSlots:
@@ -256,6 +267,8 @@
 		return decodeAs[RemoveShards](body)
 	case kindSeeUpstream:
 		return decodeAs[SeeUpstream](body)
+	case kindMarkUpstream:
+		return decodeAs[MarkUpstream](body)
 	case kindLoseUpstream:
 		return decodeAs[LoseUpstream](body)
 	case kindMoveSlots:
--- a/internal/control/state/fleet.go
+++ b/internal/control/state/fleet.go
@@ -95,6 +95,15 @@
 	catalog.Upstreams = with(catalog.Upstreams, upstream.ID, upstream)
 }
 
+func (catalog *Catalog) markUpstream(command MarkUpstream) {
+	upstream, ok := catalog.Upstreams[command.ID]
+	if !ok || upstream.Epoch != command.Epoch {
+		return
+	}
+	upstream.Full = command.Full
+	catalog.Upstreams = with(catalog.Upstreams, command.ID, upstream)
+}
+
 // loseUpstream frees the slots of an upstream, and gives those that were
 // moving to the upstream they were moving to.
 func (catalog *Catalog) loseUpstream(index uint64, command LoseUpstream) Result {
--- a/internal/control/state/types.go
+++ b/internal/control/state/types.go
@@ -106,6 +106,8 @@
 	Epoch    uint64
 	// SeenAt is when the announcement came in; the warm-up counts from it.
 	SeenAt time.Time
+	// Full is set while its primary wants no more keys for it.
+	Full bool
 	// ChecksToken tells whether it refuses requests with an old token.
 	ChecksToken bool
 }
@@ -114,6 +116,7 @@
 func (upstream Upstream) Same(other Upstream) bool {
 	upstream.Epoch = other.Epoch
 	upstream.SeenAt = other.SeenAt
+	upstream.Full = other.Full
 	return upstream == other
 }
 
--- a/internal/dispatch/queue/queue.go
+++ b/internal/dispatch/queue/queue.go
@@ -264,6 +264,16 @@
 	queue.turn = 0
 }
 
+// Oldest returns when the request arrived that has waited longest.
+func (queue *Queue[T]) Oldest() (time.Time, bool) {
+	line := queue.oldest()
+	if line == nil {
+		var none time.Time
+		return none, false
+	}
+	return line.items[0].Arrived, true
+}
+
 // Longest returns the workspace with the most requests waiting.
 func (queue *Queue[T]) Longest() (workspace string, waiting int) {
 	for _, line := range queue.lines {
--- a/internal/dispatch/ramp/ramp.go
+++ b/internal/dispatch/ramp/ramp.go
@@ -12,6 +12,9 @@
 	// slowRun is the number of slow or shed answers in a row that make an
 	// upstream cold.
 	slowRun = 4
+	// doubtRun is the number of slow answers in a row to requests sent at the
+	// cold rate that show a straggler.
+	doubtRun = 2
 	// usualWeight is the weight of a new answer in the usual time.
 	usualWeight = 0.05
 	// minSlow is the least time that counts as slow.
@@ -38,6 +41,11 @@
 	filled  time.Time
 	usual   time.Duration
 	slow    int
+	// doubted is set after a chill that slow answers caused: answers to requests
+	// sent since then show whether the upstream is cold or a straggler.
+	doubted bool
+	// straggling is set while answers are slow whatever the load.
+	straggling bool
 }
 
 // Chill puts the ramp back to its start.
@@ -47,6 +55,8 @@
 	ramp.filled = now
 	ramp.tokens = 1
 	ramp.slow = 0
+	ramp.doubted = false
+	ramp.straggling = false
 }
 
 // Since sets the ramp as if it had been started at a time in the past.
@@ -98,30 +108,47 @@
 	return max(ramp.Slots, 1)
 }
 
-// Answer notes an answer's time. A run of slow ones chills the ramp, and the
-// result tells so.
-func (ramp *Ramp) Answer(took time.Duration, now time.Time) bool {
+// Answer notes the time of an answer to a request that was sent at a time. A
+// run of slow ones chills the ramp, and the result tells so. An upstream that
+// stays slow at the cold rate is not cold but a straggler, and is not held to
+// that rate; one that gets fast again is cold, and goes through the ramp.
+func (ramp *Ramp) Answer(sent time.Time, took time.Duration, now time.Time) bool {
 	if ramp.usual == 0 {
 		ramp.usual = took
 		return false
 	}
-	if took > max(ramp.usual*slowFactor, minSlow) {
-		return ramp.strike(now)
+	if took <= max(ramp.usual*slowFactor, minSlow) {
+		ramp.slow = 0
+		ramp.doubted = ramp.doubted && sent.Before(ramp.started)
+		ramp.straggling = false
+		ramp.usual += time.Duration(usualWeight * float64(took-ramp.usual))
+		return false
 	}
-	ramp.slow = 0
-	ramp.usual += time.Duration(usualWeight * float64(took-ramp.usual))
-	return false
+	if ramp.straggling || ramp.doubted && sent.Before(ramp.started) {
+		return false
+	}
+	return ramp.strike(now)
 }
 
+// Straggling tells whether answers are slow whatever the load.
+func (ramp *Ramp) Straggling() bool { return ramp.straggling }
+
 // Shed notes that the upstream refused work as too much.
 func (ramp *Ramp) Shed(now time.Time) bool { return ramp.strike(now) }
 
 func (ramp *Ramp) strike(now time.Time) bool {
 	ramp.slow++
+	if ramp.doubted && ramp.slow >= doubtRun {
+		ramp.doubted = false
+		ramp.straggling = true
+		ramp.cold = false
+		return false
+	}
 	if ramp.slow < slowRun {
 		return false
 	}
 	ramp.Chill(now)
+	ramp.doubted = true
 	return true
 }
 
--- a/internal/dispatch/ramp/ramp_test.go
+++ b/internal/dispatch/ramp/ramp_test.go
@@ -61,20 +61,63 @@
 	now := time.Unix(100, 0)
 	ramp := &Ramp{ColdRate: 5, Duration: time.Second, Slots: 2}
 	for range 50 {
-		is.True(!ramp.Answer(10*time.Millisecond, now))
+		is.True(!ramp.Answer(now, 10*time.Millisecond, now))
 	}
 	for range slowRun - 1 {
-		is.True(!ramp.Answer(100*time.Millisecond, now)) // a straggler's moment is no coldness
+		is.True(!ramp.Answer(now, 100*time.Millisecond, now)) // a straggler's moment is no coldness
 	}
-	is.True(!ramp.Answer(10*time.Millisecond, now))
+	is.True(!ramp.Answer(now, 10*time.Millisecond, now))
 	chilled := false
 	for range slowRun {
-		chilled = ramp.Answer(100*time.Millisecond, now)
+		chilled = ramp.Answer(now, 100*time.Millisecond, now)
 	}
 	is.True(chilled)
 	is.True(ramp.Cold(now))
 }
 
+// TestColdOrStraggler tells the two apart by what comes back at the cold rate.
+func TestColdOrStraggler(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// later is the time of answers to requests sent at the cold rate.
+		later      time.Duration
+		cold       bool
+		straggling bool
+	}{
+		{"cold", 12 * time.Millisecond, true, false},
+		{"straggler", 100 * time.Millisecond, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(100, 0)
+			ramp := &Ramp{ColdRate: 5, Duration: 10 * time.Second, Slots: 2}
+			for range 50 {
+				ramp.Answer(now, 10*time.Millisecond, now)
+			}
+			for range slowRun {
+				ramp.Answer(now, 100*time.Millisecond, now)
+			}
+			is.True(ramp.Cold(now))
+			before := now.Add(-time.Millisecond)
+			for range 10 {
+				ramp.Answer(before, 100*time.Millisecond, now) // sent before the rate fell, so it proves nothing
+			}
+			is.True(ramp.Cold(now))
+			now = now.Add(time.Second)
+			for range doubtRun {
+				ramp.Answer(now, test.later, now)
+			}
+			is.Equal(ramp.Cold(now), test.cold)
+			is.Equal(ramp.Straggling(), test.straggling)
+			if test.straggling {
+				ramp.Answer(now, 10*time.Millisecond, now)
+				is.True(!ramp.Straggling()) // it has recovered, and needs no ramp
+				is.True(!ramp.Cold(now))
+			}
+		})
+	}
+}
+
 func TestShedChills(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
--- a/internal/dispatch/shard/attempt.go
+++ b/internal/dispatch/shard/attempt.go
@@ -32,6 +32,7 @@
 // upstreamOutcome is what the upstream made of the attempt.
 type upstreamOutcome struct {
 	result upstr.Result
+	sentAt time.Time
 	took   time.Duration
 }
 
@@ -81,7 +82,7 @@
 	if guarded {
 		attempt.record(result)
 	}
-	return upstreamOutcome{result: result, took: took}
+	return upstreamOutcome{result: result, sentAt: sentAt, took: took}
 }
 
 // send checks the lease directly before the first byte.
@@ -233,6 +234,9 @@
 	work.tries++
 	work.target = target
 	work.startedAt = now
+	if shard.upstream != "" {
+		shard.relief.observe(work.slot, now.Sub(work.arrived))
+	}
 	target.running++
 	target.runs[work] = now
 	shard.running[work] = true
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -68,7 +68,7 @@
 	switch result := outcome.result.(type) {
 	case upstr.Answered:
 		message.target.observe(took)
-		chilled = message.target.ramp.Answer(took, now)
+		chilled = message.target.ramp.Answer(outcome.sentAt, took, now)
 	case upstr.NotRun:
 		if result.Cause == upstr.CauseShed {
 			chilled = message.target.ramp.Shed(now)
--- a/internal/dispatch/shard/follow.go
+++ b/internal/dispatch/shard/follow.go
@@ -16,6 +16,7 @@
 	service, _ := catalog.Service(shard.service)
 	shard.followPolicies(catalog, service)
 	shard.followUpstreams(catalog, service)
+	shard.refuseMoving()
 	present := catalog.Shards[shard.id]
 	if present.Epoch == shard.epoch && present.MovingTo != "" {
 		shard.beginStop(calls.ReasonShardMoved)
@@ -40,6 +41,7 @@
 		if !ok || present.upstream.Epoch != upstream.Epoch {
 			shard.targets[name] = shard.renewed(present, newTarget(upstream, service, now))
 		}
+		shard.targets[name].upstream.Full = upstream.Full
 		shard.targets[name].leaving = !catalog.UpstreamInService(upstream.ID)
 		if shard.upstream != "" && shard.targets[name].leaving {
 			shard.refuseWaiting(calls.ReasonKeyMoving)
--- a/internal/dispatch/shard/load_test.go
+++ b/internal/dispatch/shard/load_test.go
@@ -125,7 +125,7 @@
 func TestDeadlineTooNear(t *testing.T) {
 	is := is.New(t)
 	rig := newRig(t, rigDesk, 1)
-	rig.shard.targets["up-0"].ramp.Answer(100*time.Millisecond, rig.clock.Now())
+	rig.shard.targets["up-0"].ramp.Answer(rig.clock.Now(), 100*time.Millisecond, rig.clock.Now())
 	release := make(chan struct{})
 	defer close(release)
 	rig.upstreams.send = func(context.Context, upstr.Call) upstr.Result {
@@ -179,7 +179,7 @@
 			rig := newRig(t, rigDesk, 2)
 			rig.shard.hedgeBudget = 5
 			for _, target := range rig.shard.targets {
-				target.ramp.Answer(10*time.Millisecond, rig.clock.Now())
+				target.ramp.Answer(rig.clock.Now(), 10*time.Millisecond, rig.clock.Now())
 			}
 			slow := make(chan struct{})
 			rig.upstreams.send = func(_ context.Context, call upstr.Call) upstr.Result {
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -212,6 +212,7 @@
 	// hedgeBudget is the number of requests that may be sent twice now.
 	hedgeBudget float64
 	turn        int
+	relief      relief
 	// swept is when deadlines, grants and hedges were last looked at.
 	swept time.Time
 	// stopping is why no new work is taken, or empty.
@@ -404,6 +405,7 @@
 		shard.expire(now)
 		shard.renewGrants(now)
 		shard.hedge(now)
+		shard.relieve(now)
 	} else if shard.urgent() {
 		shard.renewGrants(now)
 	}
--- a/internal/dispatch/shard/submit.go
+++ b/internal/dispatch/shard/submit.go
@@ -178,8 +178,25 @@
 
 // refuseWaiting refuses all requests that wait.
 func (shard *Shard) refuseWaiting(reason calls.Reason) {
+	shard.refuseMatching(reason, func(*run) bool { return true })
+}
+
+// refuseMoving refuses the waiting requests whose keys this upstream no longer
+// owns or is about to give up.
+func (shard *Shard) refuseMoving() {
+	if shard.upstream == "" {
+		return
+	}
+	table := shard.env.Catalog().Tables[shard.service]
+	shard.refuseMatching(calls.ReasonKeyMoving, func(work *run) bool {
+		_, owner := table.Find(work.request.Key)
+		return owner.Upstream != shard.upstream || owner.MovingTo != ""
+	})
+}
+
+func (shard *Shard) refuseMatching(reason calls.Reason, match func(*run) bool) {
 	for _, lane := range shard.lanes {
-		for _, item := range lane.queue.Remove(func(queue.Item[*run]) bool { return true }) {
+		for _, item := range lane.queue.Remove(func(item queue.Item[*run]) bool { return match(item.Value) }) {
 			item.Value.settle(calls.Refused{Reason: reason, Ran: ranSoFar(item.Value)})
 		}
 	}
--- a/internal/dispatch/shard/target.go
+++ b/internal/dispatch/shard/target.go
@@ -18,6 +18,9 @@
 	// an upstream count as stalled.
 	stallFactor = 5
 	minStall    = 50 * time.Millisecond
+	// slowFactor is how many times the usual time the latest answers of a slow
+	// upstream take.
+	slowFactor = 3
 )
 
 // target is an upstream as its primary sees it.
@@ -73,6 +76,11 @@
 	return target.oldest(now) > max(target.ramp.Usual()*stallFactor, minStall)
 }
 
+// slow tells whether answers lately took much longer than they usually do.
+func (target *target) slow() bool {
+	return target.ramp.Straggling() || target.recent > slowFactor*target.ramp.Usual()
+}
+
 // score is the time that a further request is expected to take.
 func (target *target) score(now time.Time) float64 {
 	expected := max(target.recent, target.oldest(now), time.Millisecond)
--- a/internal/entry/front/carry.go
+++ b/internal/entry/front/carry.go
@@ -24,7 +24,7 @@
 func (front *Front) carry(ctx context.Context, work calls.Request, deadline time.Time) calls.Outcome {
 	watcher := front.Follower.Watch()
 	defer front.Follower.Unwatch(watcher)
-	patience := front.Clock.Now().Add(moveWait)
+	var patience time.Time
 	maybeRan := false
 	for {
 		outcome := front.attempt(ctx, work, deadline)
@@ -38,6 +38,9 @@
 			refused.Ran = calls.RanUnknown
 		}
 		now := front.Clock.Now()
+		if patience.IsZero() {
+			patience = now.Add(moveWait)
+		}
 		if !mayRepeat(work, refused.Reason, maybeRan) || now.After(patience) || now.Add(movePoll).After(deadline) {
 			return refused
 		}
--- a/internal/oper/cmds/load.go
+++ b/internal/oper/cmds/load.go
@@ -42,18 +42,19 @@
 	Churn     int
 	Imbalance float64
 	Marks     []scene.Mark
+	Series    []load.Point
 }
 
 // Run starts a fleet, sends the load, causes the faults and prints measures.
 func (loadcommand *loadCommand) Run(streams *Streams) error {
-	result, series, err := loadcommand.measure(streams)
+	result, err := loadcommand.measure(streams)
 	if err != nil {
 		return err
 	}
 	if loadcommand.Report != "" {
 		run := report.Run{
 			Title: "Load on " + loadcommand.User, Summary: result.Summary, Writes: result.Writes,
-			Series: series, Marks: result.Marks,
+			Series: result.Series, Marks: result.Marks,
 		}
 		if err := report.Write(loadcommand.Report, run); err != nil {
 			return Error.New("write report: %w", err)
@@ -65,15 +66,15 @@
 	return printLoad(streams, result)
 }
 
-func (loadcommand *loadCommand) measure(streams *Streams) (LoadResult, []load.Point, error) {
+func (loadcommand *loadCommand) measure(streams *Streams) (LoadResult, error) {
 	folder, err := os.MkdirTemp("", "damaskcrank-load-")
 	if err != nil {
-		return LoadResult{}, nil, Error.New("create folder: %w", err)
+		return LoadResult{}, Error.New("create folder: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	logger, err := quietLog(loadcommand.Logs)
 	if err != nil {
-		return LoadResult{}, nil, err
+		return LoadResult{}, err
 	}
 	user := scene.Jordan()
 	if loadcommand.User == "gandaki" {
@@ -87,7 +88,7 @@
 		Routing: loadcommand.Routing, Admission: loadcommand.Admission,
 	})
 	if err != nil {
-		return LoadResult{}, nil, Error.New("start scene: %w", err)
+		return LoadResult{}, Error.New("start scene: %w", err)
 	}
 	defer running.Close()
 	_, _ = fmt.Fprintf(streams.Err, "sending load for %s\n", loadcommand.Duration)
@@ -97,8 +98,8 @@
 	return LoadResult{
 		Summary: measures.Summary(), Writes: measures.CheckWrites(running.Fleet.Journal), Breaches: running.Breaches(),
 		Crashes: running.Fleet.Journal.Crashes(), Churn: running.Moves(before), Imbalance: running.Imbalance(),
-		Marks: schedule.Marks(),
-	}, measures.Series(), nil
+		Marks: schedule.Marks(), Series: measures.Series(),
+	}, nil
 }
 
 // quietLog returns a logger that drops all lines unless they are wanted.
