--- a/internal/control/plan/plan_test.go
+++ b/internal/control/plan/plan_test.go
@@ -10,6 +10,7 @@
 
 	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/peer/beats"
 )
 
 // fleet is a state machine that carries decisions out, with releases at once.
@@ -298,3 +299,34 @@
 		}
 	}
 }
+
+// TestDeafLeader tells a leader whose heartbeats no longer come in, though
+// consensus works, from hosts that are really lost.
+func TestDeafLeader(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		members int
+		led     time.Duration
+		silent  int
+		total   int
+		deaf    bool
+	}{
+		{"all hosts silent", 3, time.Minute, 12, 12, true},
+		{"most hosts silent", 3, time.Minute, 7, 12, true},
+		{"a data centre lost", 3, time.Minute, 3, 12, false},
+		{"half of the hosts lost", 3, time.Minute, 6, 12, false},
+		{"new leader hears nobody either", 3, deafTerm - 1, 12, 12, false},
+		{"no other member to lead", 1, time.Minute, 12, 12, false},
+		{"only host", 3, time.Minute, 1, 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is.New(t).Equal(seemsDeaf(test.members, test.led, test.silent, test.total), test.deaf)
+		})
+	}
+}
+
+// TestDeafBeforeLease hands leadership over early enough for the next leader to
+// hear from all hosts before it may take them for lost.
+func TestDeafBeforeLease(t *testing.T) {
+	is.New(t).True(deafAfter < beats.Lease)
+}
--- a/internal/control/plan/steward.go
+++ b/internal/control/plan/steward.go
@@ -97,11 +97,14 @@
 // cut off: consensus works, but heartbeats do not come in any more.
 func (steward *Steward) deaf() bool {
 	status := steward.node.Status()
-	if len(status.Members) < minMembers || steward.clock.Now().Sub(status.LeaderSince) < deafTerm {
-		return false
-	}
 	silent, total := steward.leases.Silent(deafAfter)
-	return total > 1 && silent*2 > total
+	return seemsDeaf(len(status.Members), steward.clock.Now().Sub(status.LeaderSince), silent, total)
+}
+
+// seemsDeaf decides by the size of the group, how long this member has led, and
+// how many of all hosts are silent.
+func seemsDeaf(members int, led time.Duration, silent, total int) bool {
+	return members >= minMembers && led >= deafTerm && total > 1 && silent*2 > total
 }
 
 // minMembers is the smallest group in which another member can take over.
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -8,7 +8,7 @@
 )
 
 // Command is one entry of the replicated log.
-type Command interface{ command() }
+type Command interface{ kind() commandKind }
 
 // ApplyRecords puts new versions of records in force, all or none.
 type ApplyRecords struct {
@@ -136,24 +136,6 @@
 	Attempt string
 }
 
-func (ApplyRecords) command()   {}
-func (OpenSession) command()    {}
-func (CloseSession) command()   {}
-func (DrainSession) command()   {}
-func (MoveShards) command()     {}
-func (ReleaseShards) command()  {}
-func (RemoveShards) command()   {}
-func (SeeUpstream) command()    {}
-func (MarkUpstream) command()   {}
-func (LoseUpstream) command()   {}
-func (MoveSlots) command()      {}
-func (ReleaseSlots) command()   {}
-func (StrikeRequest) command()  {}
-func (AbsolveRequest) command() {}
-func (BeginRequest) command()   {}
-func (FinishRequest) command()  {}
-func (DropRequest) command()    {}
-
 // commandKind is a command's name in the log.
 type commandKind string
 
@@ -177,44 +159,23 @@
 	kindDropRequest    commandKind = "dropRequest"
 )
 
-func kindOf(command Command) commandKind {
-	switch command.(type) {
-	case ApplyRecords:
-		return kindApplyRecords
-	case OpenSession:
-		return kindOpenSession
-	case CloseSession:
-		return kindCloseSession
-	case DrainSession:
-		return kindDrainSession
-	case MoveShards:
-		return kindMoveShards
-	case ReleaseShards:
-		return kindReleaseShards
-	case RemoveShards:
-		return kindRemoveShards
-	case SeeUpstream:
-		return kindSeeUpstream
-	case MarkUpstream:
-		return kindMarkUpstream
-	case LoseUpstream:
-		return kindLoseUpstream
-	case MoveSlots:
-		return kindMoveSlots
-	case ReleaseSlots:
-		return kindReleaseSlots
-	case StrikeRequest:
-		return kindStrikeRequest
-	case AbsolveRequest:
-		return kindAbsolveRequest
-	case BeginRequest:
-		return kindBeginRequest
-	case FinishRequest:
-		return kindFinishRequest
-	default:
-		return kindDropRequest
-	}
-}
+func (ApplyRecords) kind() commandKind   { return kindApplyRecords }
+func (OpenSession) kind() commandKind    { return kindOpenSession }
+func (CloseSession) kind() commandKind   { return kindCloseSession }
+func (DrainSession) kind() commandKind   { return kindDrainSession }
+func (MoveShards) kind() commandKind     { return kindMoveShards }
+func (ReleaseShards) kind() commandKind  { return kindReleaseShards }
+func (RemoveShards) kind() commandKind   { return kindRemoveShards }
+func (SeeUpstream) kind() commandKind    { return kindSeeUpstream }
+func (MarkUpstream) kind() commandKind   { return kindMarkUpstream }
+func (LoseUpstream) kind() commandKind   { return kindLoseUpstream }
+func (MoveSlots) kind() commandKind      { return kindMoveSlots }
+func (ReleaseSlots) kind() commandKind   { return kindReleaseSlots }
+func (StrikeRequest) kind() commandKind  { return kindStrikeRequest }
+func (AbsolveRequest) kind() commandKind { return kindAbsolveRequest }
+func (BeginRequest) kind() commandKind   { return kindBeginRequest }
+func (FinishRequest) kind() commandKind  { return kindFinishRequest }
+func (DropRequest) kind() commandKind    { return kindDropRequest }
 
 // packed is a command or result behind its name.
 type packed struct {
@@ -229,7 +190,7 @@
 	if err != nil {
 		return nil, Error.New("encode command: %w", err)
 	}
-	data, err := codec.Marshal(packed{Kind: kindOf(command), Body: body})
+	data, err := codec.Marshal(packed{Kind: command.kind(), Body: body})
 	if err != nil {
 		return nil, Error.New("encode command: %w", err)
 	}
@@ -249,45 +210,33 @@
 	return command, nil
 }
 
+// decoders decode commands by their names.
+var decoders = map[commandKind]func(codec.Raw) (Command, error){
+	kindApplyRecords:   decodeAs[ApplyRecords],
+	kindOpenSession:    decodeAs[OpenSession],
+	kindCloseSession:   decodeAs[CloseSession],
+	kindDrainSession:   decodeAs[DrainSession],
+	kindMoveShards:     decodeAs[MoveShards],
+	kindReleaseShards:  decodeAs[ReleaseShards],
+	kindRemoveShards:   decodeAs[RemoveShards],
+	kindSeeUpstream:    decodeAs[SeeUpstream],
+	kindMarkUpstream:   decodeAs[MarkUpstream],
+	kindLoseUpstream:   decodeAs[LoseUpstream],
+	kindMoveSlots:      decodeAs[MoveSlots],
+	kindReleaseSlots:   decodeAs[ReleaseSlots],
+	kindStrikeRequest:  decodeAs[StrikeRequest],
+	kindAbsolveRequest: decodeAs[AbsolveRequest],
+	kindBeginRequest:   decodeAs[BeginRequest],
+	kindFinishRequest:  decodeAs[FinishRequest],
+	kindDropRequest:    decodeAs[DropRequest],
+}
+
 func decodeBody(kind commandKind, body codec.Raw) (Command, error) {
-	switch kind {
-	case kindApplyRecords:
-		return decodeAs[ApplyRecords](body)
-	case kindOpenSession:
-		return decodeAs[OpenSession](body)
-	case kindCloseSession:
-		return decodeAs[CloseSession](body)
-	case kindDrainSession:
-		return decodeAs[DrainSession](body)
-	case kindMoveShards:
-		return decodeAs[MoveShards](body)
-	case kindReleaseShards:
-		return decodeAs[ReleaseShards](body)
-	case kindRemoveShards:
-		return decodeAs[RemoveShards](body)
-	case kindSeeUpstream:
-		return decodeAs[SeeUpstream](body)
-	case kindMarkUpstream:
-		return decodeAs[MarkUpstream](body)
-	case kindLoseUpstream:
-		return decodeAs[LoseUpstream](body)
-	case kindMoveSlots:
-		return decodeAs[MoveSlots](body)
-	case kindReleaseSlots:
-		return decodeAs[ReleaseSlots](body)
-	case kindStrikeRequest:
-		return decodeAs[StrikeRequest](body)
-	case kindAbsolveRequest:
-		return decodeAs[AbsolveRequest](body)
-	case kindBeginRequest:
-		return decodeAs[BeginRequest](body)
-	case kindFinishRequest:
-		return decodeAs[FinishRequest](body)
-	case kindDropRequest:
-		return decodeAs[DropRequest](body)
-	default:
+	decode, ok := decoders[kind]
+	if !ok {
 		return nil, Error.New("command %q is not known to this version", kind)
 	}
+	return decode(body)
 }
 
 func decodeAs[T Command](body codec.Raw) (Command, error) {
