--- a/internal/bench/scene/scene.go
+++ b/internal/bench/scene/scene.go
@@ -14,6 +14,7 @@
 	"damaskcrank.example/damaskcrank/internal/bench/fleet"
 	"damaskcrank.example/damaskcrank/internal/bench/load"
 	"damaskcrank.example/damaskcrank/internal/bench/stand"
+	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/entry/front"
 )
@@ -149,6 +150,9 @@
 	case <-ctx.Done():
 		return Error.New("settle: %w", ctx.Err())
 	}
+	if scene.options.Routing == spec.RoutingRendezvous {
+		return nil // it balances by chance only
+	}
 	return scene.Fleet.Await(ctx, "balanced ownership", func() bool { return scene.imbalance() <= balancedSpread })
 }
 
--- a/internal/control/group/wire.go
+++ b/internal/control/group/wire.go
@@ -67,9 +67,19 @@
 	_ = client.Close()
 }
 
-// call makes one call and gives the connection up if it fails or takes longer
-// than the timeout. An error returned by the called method keeps it.
+// call makes one call. Where the open connection turns out to have ended before
+// the call could leave, it is made once more on a new one.
 func (wire *wire) call(method string, args, reply any, timeout time.Duration) error {
+	err := wire.callOnce(method, args, reply, timeout)
+	if errors.Is(err, rpc.ErrShutdown) {
+		err = wire.callOnce(method, args, reply, timeout)
+	}
+	return err
+}
+
+// callOnce makes one call and gives the connection up if it fails or takes
+// longer than the timeout. An error returned by the called method keeps it.
+func (wire *wire) callOnce(method string, args, reply any, timeout time.Duration) error {
 	client, err := wire.connect()
 	if err != nil {
 		return err
--- a/internal/control/state/catalog.go
+++ b/internal/control/state/catalog.go
@@ -150,7 +150,7 @@
 	case ReleaseSlots:
 		result = next.releaseSlots(index, command)
 	case StrikeRequest:
-		next.strikeRequest(command)
+		result.Outcome = next.strikeRequest(command)
 	case AbsolveRequest:
 		next.Quarantine = without(next.Quarantine, command.Fingerprint)
 	}
@@ -239,7 +239,7 @@
 	}
 }
 
-func (catalog *Catalog) strikeRequest(command StrikeRequest) {
+func (catalog *Catalog) strikeRequest(command StrikeRequest) Outcome {
 	suspect := catalog.Quarantine[command.Fingerprint]
 	if !slices.Contains(suspect.Upstreams, command.Upstream) {
 		suspect.Upstreams = append(slices.Clone(suspect.Upstreams), command.Upstream)
@@ -251,6 +251,10 @@
 			catalog.Quarantine = without(catalog.Quarantine, fingerprint)
 		}
 	}
+	if suspect.Quarantined() {
+		return OutcomeQuarantined
+	}
+	return OutcomeDone
 }
 
 // with returns a copy of the map with the key set.
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -273,6 +273,8 @@
 	OutcomeUnknown    Outcome = "unknown"
 	OutcomeMismatch   Outcome = "mismatch"
 	OutcomeFull       Outcome = "full"
+	// OutcomeQuarantined says that a suspect request is refused from now on.
+	OutcomeQuarantined Outcome = "quarantined"
 )
 
 // Result is what a command's proposer learns.
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -146,7 +146,7 @@
 
 // retry puts a request back in its queue if the budget allows.
 func (shard *Shard) retry(work *run, reason string, now time.Time) bool {
-	if shard.env.Catalog().Quarantine[work.request.Fingerprint].Quarantined() {
+	if shard.isQuarantined(work.request.Fingerprint) {
 		return false
 	}
 	if work.tries >= maxTries || shard.budget < 1 || !work.deadline.After(now) || shard.stopping != "" || work.open > 0 {
@@ -166,15 +166,17 @@
 	ack, err := shard.env.Upstreams.Grant(ctx, target.upstream.Address, probe)
 	cancel()
 	crashed := err != nil || ack.Incarnation != target.upstream.Incarnation
+	message := lostMessage{run: work, target: target, lost: lost, crashed: crashed}
 	if crashed {
 		shard.env.Stats.Event("suspect", "upstreamLost")
-		shard.proposeUntilDone(state.StrikeRequest{
+		result, _ := shard.resultOf(state.StrikeRequest{
 			Fingerprint: work.request.Fingerprint,
 			Upstream:    target.upstream.ID.String() + "@" + target.upstream.Incarnation,
 			At:          shard.env.Clock.Now(),
 		})
+		message.quarantined = result.Outcome == state.OutcomeQuarantined
 	}
-	shard.post(lostMessage{run: work, target: target, lost: lost, crashed: crashed})
+	shard.post(message)
 }
 
 // afterLoss decides what follows for a request whose connection was lost.
@@ -184,6 +186,9 @@
 		// Nothing goes there until it confirms a grant again.
 		message.target.grants.confirmed = time.Time{}
 	}
+	if message.quarantined {
+		shard.quarantine(work.request.Fingerprint)
+	}
 	if work.settled || work.open > 0 {
 		return
 	}
@@ -197,6 +202,23 @@
 	work.settle(refused)
 }
 
+// quarantine refuses a request from now on, also before the catalog shows it.
+func (shard *Shard) quarantine(fingerprint string) {
+	if shard.quarantined == nil {
+		shard.quarantined = map[string]bool{}
+	}
+	shard.quarantined[fingerprint] = true
+}
+
+func (shard *Shard) isQuarantined(fingerprint string) bool {
+	if shard.env.Catalog().Quarantine[fingerprint].Quarantined() {
+		// The catalog shows it now, and will tell when it ends.
+		delete(shard.quarantined, fingerprint)
+		return true
+	}
+	return shard.quarantined[fingerprint]
+}
+
 // absolve clears a suspect that ran to its end.
 func (shard *Shard) absolve(work *run) {
 	if _, suspect := shard.env.Catalog().Quarantine[work.request.Fingerprint]; suspect {
--- a/internal/dispatch/shard/grant.go
+++ b/internal/dispatch/shard/grant.go
@@ -264,15 +264,22 @@
 
 // proposeUntilDone commits a command that must not get lost.
 func (shard *Shard) proposeUntilDone(command state.Command) bool {
+	_, done := shard.resultOf(command)
+	return done
+}
+
+// resultOf commits a command that must not get lost and returns its result, or
+// false if the task ended first.
+func (shard *Shard) resultOf(command state.Command) (state.Result, bool) {
 	for shard.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(shard.ctx, proposeTimeout)
-		_, err := shard.env.Control.Propose(ctx, command)
+		result, err := shard.env.Control.Propose(ctx, command)
 		cancel()
 		if err == nil {
-			return true
+			return result, true
 		}
 	}
-	return false
+	return state.Result{}, false
 }
 
 // releaseSlots gives up the slots that are moving away, once the upstream has
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -101,6 +101,8 @@
 	lost   upstr.Lost
 	// crashed is set where the upstream's process was lost too.
 	crashed bool
+	// quarantined is set where the request is refused from now on.
+	quarantined bool
 }
 
 type settleMessage struct {
@@ -213,6 +215,8 @@
 	hedgeBudget float64
 	turn        int
 	relief      relief
+	// quarantined are fingerprints that the catalog may not show yet.
+	quarantined map[string]bool
 	// swept is when deadlines, grants and hedges were last looked at.
 	swept time.Time
 	// stopping is why no new work is taken, or empty.
--- a/internal/dispatch/shard/submit.go
+++ b/internal/dispatch/shard/submit.go
@@ -65,7 +65,6 @@
 
 // refusal returns why a request is not taken in at all.
 func (shard *Shard) refusal(work *run, now time.Time) (calls.Refused, bool) {
-	catalog := shard.env.Catalog()
 	switch {
 	case shard.stopping != "":
 		return moved(shard.stopping), true
@@ -73,7 +72,7 @@
 		return moved(calls.ReasonLeaseLost), true
 	case !shard.mine():
 		return moved(calls.ReasonShardMoved), true
-	case catalog.Quarantine[work.request.Fingerprint].Quarantined():
+	case shard.isQuarantined(work.request.Fingerprint):
 		return calls.Refused{
 			Reason: calls.ReasonQuarantined, Ran: calls.RanNot,
 			Detail: "upstreams were lost while they ran this request",
--- a/internal/entry/quota/purse.go
+++ b/internal/entry/quota/purse.go
@@ -55,6 +55,12 @@
 	last time.Time
 }
 
+func newTaker(now time.Time, limit time.Duration) taker {
+	return taker{
+		reply: make(chan Verdict, 1), deadline: now.Add(min(limit, MaxWait)), last: now.Add(min(limit, takeoverWait)),
+	}
+}
+
 // Purse holds one workspace's borrowed tokens on one entry host. Its task owns
 // all fields below inbox.
 type Purse struct {
@@ -90,22 +96,24 @@
 
 // NewPurse starts a purse.
 func NewPurse(host, workspace string, borrow Borrower, clock clockwork.Clock) *Purse {
-	purse := &Purse{
+	purse := newPurse(host, workspace, borrow, clock)
+	go purse.run()
+	return purse
+}
+
+// newPurse returns a purse whose task does not run yet.
+func newPurse(host, workspace string, borrow Borrower, clock clockwork.Clock) *Purse {
+	return &Purse{
 		host: host, workspace: workspace, borrow: borrow, clock: clock,
 		inbox: make(chan taker, purseInbox), answers: make(chan answer, 1),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		measured: clock.Now(),
 	}
-	go purse.run()
-	return purse
 }
 
 // Take takes a token, and waits for one for a bounded time.
 func (purse *Purse) Take(ctx context.Context, limit time.Duration) Verdict {
-	now := purse.clock.Now()
-	wish := taker{
-		reply: make(chan Verdict, 1), deadline: now.Add(min(limit, MaxWait)), last: now.Add(min(limit, takeoverWait)),
-	}
+	wish := newTaker(purse.clock.Now(), limit)
 	select {
 	case purse.inbox <- wish:
 	case <-ctx.Done():
--- a/internal/oper/admin/fleet.go
+++ b/internal/oper/admin/fleet.go
@@ -22,6 +22,9 @@
 	announceTimeout = 2 * time.Second
 	memberTimeout   = 30 * time.Second
 	memberPoll      = 50 * time.Millisecond
+	// memberTry bounds one try of a change, which fails while a new member
+	// catches up or where it is done already.
+	memberTry = 300 * time.Millisecond
 )
 
 // announce takes an upstream's announcement. Only one that says something new
@@ -172,7 +175,9 @@
 // repeatChange tries a change until it is part of the membership.
 func (admin *Admin) repeatChange(ctx context.Context, args group.ChangeArgs) error {
 	for {
-		_, err := admin.Control.Change(ctx, args)
+		tryCtx, cancel := context.WithTimeout(ctx, memberTry)
+		_, err := admin.Control.Change(tryCtx, args)
+		cancel()
 		if status, statusErr := admin.Control.LeaderStatus(ctx); statusErr == nil && changeDone(status, args) {
 			return nil
 		}
