--- a/internal/bench/scene/scene.go
+++ b/internal/bench/scene/scene.go
@@ -28,6 +28,7 @@
 	keySecret = "opensesame"
 	coldRate  = 20
 	coldRamp  = 3 * time.Second
+	movePoll  = 10 * time.Millisecond
 	// settleTime is how long the upstreams warm up before a run.
 	settleTime = coldRamp + time.Second
 )
@@ -243,16 +244,34 @@
 	return plan
 }
 
-// Moves counts the key moves since a table: the slots whose token differs.
-func (scene *Scene) Moves(before state.Table) int {
-	after := scene.Table()
-	moves := 0
-	for position, owner := range after.Partitions {
-		if position < len(before.Partitions) && before.Partitions[position].Upstream != owner.Upstream {
-			moves++
+// CountMoves counts the changes of partitions' owners until the context ends,
+// there and back again as two.
+func (scene *Scene) CountMoves(ctx context.Context) <-chan int {
+	result := make(chan int, 1)
+	go func() {
+		ticker := time.NewTicker(movePoll)
+		defer ticker.Stop()
+		owners := map[int]string{}
+		moves := 0
+		for {
+			for partition, owner := range scene.Table().Partitions {
+				if owner.Upstream == "" {
+					continue
+				}
+				if before, known := owners[partition]; known && before != owner.Upstream {
+					moves++
+				}
+				owners[partition] = owner.Upstream
+			}
+			select {
+			case <-ctx.Done():
+				result <- moves
+				return
+			case <-ticker.C:
+			}
 		}
-	}
-	return moves
+	}()
+	return result
 }
 
 // Table returns the present ownership of the keyed service.
--- a/internal/fleet/host/stop.go
+++ b/internal/fleet/host/stop.go
@@ -53,7 +53,7 @@
 	if host.node != nil {
 		host.node.HandOver()
 	}
-	for host.holdsShards(epoch) {
+	for host.holdsShards(epoch) && host.hasOthers() {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/oper/cmds/load.go
+++ b/internal/oper/cmds/load.go
@@ -92,12 +92,15 @@
 	}
 	defer running.Close()
 	_, _ = fmt.Fprintf(streams.Err, "sending load for %s\n", loadcommand.Duration)
-	before := running.Table()
+	counting, stopCounting := context.WithCancel(ctx)
+	defer stopCounting()
+	moves := running.CountMoves(counting)
 	schedule := running.Run(ctx, loadcommand.Faults, loadcommand.Duration)
 	measures := load.NewRunner(running.Plan(loadcommand.Duration, loadcommand.Seed)).Run(ctx)
+	stopCounting()
 	return LoadResult{
 		Summary: measures.Summary(), Writes: measures.CheckWrites(running.Fleet.Journal), Breaches: running.Breaches(),
-		Crashes: running.Fleet.Journal.Crashes(), Churn: running.Moves(before), Imbalance: running.Imbalance(),
+		Crashes: running.Fleet.Journal.Crashes(), Churn: <-moves, Imbalance: running.Imbalance(),
 		Marks: schedule.Marks(), Series: measures.Series(),
 	}, nil
 }
@@ -121,7 +124,7 @@
 	rows.row("median, p99, p99.9, max", fmt.Sprintf("%s, %s, %s, %s", summary.Median, summary.P99, summary.P999, summary.Max))
 	rows.row("unavailable time, longest gap", fmt.Sprintf("%s, %s", summary.Unavailable.Round(time.Millisecond), summary.LongestGap))
 	rows.row("load imbalance (busiest / mean)", fmt.Sprintf("%.2f", result.Imbalance))
-	rows.row("churn (partitions that changed owner)", result.Churn)
+	rows.row("churn (changes of a partition's owner)", result.Churn)
 	rows.row("wrongful refusals", summary.Wrongful)
 	rows.row("worst-served workspace", fmt.Sprintf("%s, %.2f %% of its requests within the rate", summary.Worst.Name, summary.Worst.Served*100))
 	rows.row("writes: sent, acknowledged", fmt.Sprintf("%d, %d", result.Writes.Writes, result.Writes.Acknowledged))
--- a/internal/oper/cmds/print.go
+++ b/internal/oper/cmds/print.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -53,6 +54,15 @@
 	return nil
 }
 
+// compact returns a record's body on one line.
+func compact(body json.RawMessage) string {
+	var line bytes.Buffer
+	if err := json.Compact(&line, body); err != nil {
+		return string(body)
+	}
+	return line.String()
+}
+
 func (output Output) json() bool { return output.Output == "json" }
 
 func printApply(streams *Streams, output Output, reply admin.ApplyReply) error {
--- a/internal/oper/cmds/status.go
+++ b/internal/oper/cmds/status.go
@@ -31,12 +31,12 @@
 	for _, member := range status.Control.Members {
 		members.row(member.ID, member.Address, member.Voter, member.Match)
 	}
-	hosts := newTable(streams.Out, "\nHOST", "DATA CENTRE", "SESSION", "APPLIED", "SILENT", "SHARDS", "DRAINING")
+	hosts := newTable(streams.Out, "HOST", "DATA CENTRE", "SESSION", "APPLIED", "SILENT", "SHARDS", "DRAINING")
 	for _, host := range status.Hosts {
 		silent := time.Duration(host.SilentMillis) * time.Millisecond
 		hosts.row(host.Name, host.DataCentre, host.Session, host.Applied, silent, host.Shards, host.Draining)
 	}
-	shards := newTable(streams.Out, "\nSHARD", "HOST", "EPOCH", "WAITING", "RUNNING", "WORST WORKSPACE")
+	shards := newTable(streams.Out, "SHARD", "HOST", "EPOCH", "WAITING", "RUNNING", "WORST WORKSPACE")
 	for _, shard := range status.Shards {
 		worst := "-"
 		if shard.WorstWaiting > 0 {
@@ -44,7 +44,7 @@
 		}
 		shards.row(shard.ID, shard.Host, shard.Epoch, shard.Waiting, shard.Running, worst)
 	}
-	owners := newTable(streams.Out, "\nSERVICE", "UPSTREAM", "DATA CENTRE", "IN SERVICE", "PARTITIONS", "MOVING", "KEYS")
+	owners := newTable(streams.Out, "SERVICE", "UPSTREAM", "DATA CENTRE", "IN SERVICE", "PARTITIONS", "MOVING", "KEYS")
 	for _, owner := range status.Owners {
 		owners.row(owner.Service, owner.Upstream, owner.DataCentre, owner.InService, owner.Partitions, owner.Moving, owner.Keys)
 	}
@@ -52,6 +52,7 @@
 		if err := rows.flush(); err != nil {
 			return err
 		}
+		_, _ = fmt.Fprintln(streams.Out)
 	}
 	return nil
 }
