Move keys before shards when a data centre leaves; end waits in overload

Cause: a data centre's leave gave Jordan a tail of 0.3 s. Each key of the data centre was interrupted twice, once for its shard's new primary and once for its new owner. Ruled out: grants (the move of a single key takes 22 ms) and the slow return (the tail stands at the leave).

Change: the planner leaves the shard of a leaving upstream with its primary until its keys have gone. In an overload of over a second requests wait 40 ms for a token instead of 300: waiting saves nobody there. Round robin, the baseline, no longer hedges.

Conclusion: one interruption per key is what a leave costs now.

--- /dev/null
+++ b/internal/bench/slope/upstreams.go
@@ -0,0 +1,62 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"damaskcrank.example/damaskcrank/internal/bench/fleet"
+	"damaskcrank.example/damaskcrank/internal/bench/stand"
+)
+
+// Upstreams measures the processor time that idle upstreams cost in a second,
+// grants, announcements and the stand-ins' own part included, by their number.
+func Upstreams() (Line, error) {
+	var points []Point
+	for _, count := range []int{10, 20, 40, 80} {
+		cost, err := idleUpstreams(count)
+		if err != nil {
+			return Line{}, err
+		}
+		points = append(points, Point{float64(count), cost})
+	}
+	return fit("idle upstreams, one second", "microseconds", "upstream", points), nil
+}
+
+func idleUpstreams(count int) (float64, error) {
+	const length = 3 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), hopTimeout)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "damaskcrank-idle-")
+	if err != nil {
+		return 0, Error.New("create folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	running, err := fleet.Start(ctx, fleet.Options{
+		Hosts: 1, Control: 1, DataCentres: []string{"one"}, Folder: folder, Log: &log.Logger{Handler: discard.New()},
+	})
+	if err != nil {
+		return 0, Error.New("start fleet: %w", err)
+	}
+	defer running.Close()
+	if err := running.Apply(ctx, 0, "[[service]]\nname = \"s\"\nschema = 1\nversion = 1\npartitions = 256\n"); err != nil {
+		return 0, Error.New("apply records: %w", err)
+	}
+	for number := range count {
+		if _, err := running.StartUpstream(stand.Options{
+			Service: "s", Name: fmt.Sprintf("u-%d", number), DataCentre: "one", Slots: 2, ColdRate: 10, ColdRamp: time.Second,
+		}); err != nil {
+			return 0, Error.New("start upstream: %w", err)
+		}
+	}
+	if err := running.AwaitOwners(ctx, "s"); err != nil {
+		return 0, Error.New("wait for owners: %w", err)
+	}
+	<-time.After(length)
+	used := spent(func() { <-time.After(length) })
+	return used.Seconds() * 1e6 / length.Seconds(), nil
+}
--- a/internal/control/plan/plan.go
+++ b/internal/control/plan/plan.go
@@ -35,6 +35,9 @@
 	Expired func(epoch uint64) bool
 	// Balance allows moves that only serve balance.
 	Balance bool
+	// Settled is set where this very catalog called for nothing a moment ago, so
+	// that only sessions may have something to do.
+	Settled bool
 }
 
 // Decide returns the commands to commit next. They are valid for the catalog
@@ -42,6 +45,9 @@
 func Decide(input Input) []state.Command {
 	var commands []state.Command
 	commands = append(commands, closeSessions(input)...)
+	if input.Settled && !input.Balance {
+		return commands
+	}
 	commands = append(commands, placeShards(input)...)
 	commands = append(commands, dropShards(input)...)
 	for _, name := range input.Catalog.Services() {
@@ -130,7 +136,7 @@
 	var moves []state.ShardMove
 	for _, id := range neededShards(catalog) {
 		shard := catalog.Shards[id]
-		if !mustMove(catalog, hosts, shard) {
+		if !mustMove(catalog, hosts, shard) || shard.Host != "" && emptying(catalog, id) {
 			continue
 		}
 		host := chooseHost(catalog, hosts, id)
@@ -161,6 +167,23 @@
 	return !ok && live
 }
 
+// emptying tells whether a dispatch shard's upstream is leaving and its keys
+// can go to others. Its primary stays until they have gone, so that each key is
+// interrupted by one move and not by two.
+func emptying(catalog *state.Catalog, id state.ShardID) bool {
+	service, name, ok := id.Dispatch()
+	upstream := state.UpstreamID{Service: service, Name: name}
+	if !ok || name == "" || catalog.UpstreamInService(upstream) || len(eligibleUpstreams(catalog, service)) == 0 {
+		return false
+	}
+	for _, slot := range slotsOf(catalog.Tables[service]) {
+		if slot.owner.Upstream == name {
+			return true
+		}
+	}
+	return false
+}
+
 // chooseHost prefers the upstream's data centre, then the fewest shards, then
 // the highest hash, so that equal hosts share evenly.
 func chooseHost(catalog *state.Catalog, hosts map[string]*hostLoad, id state.ShardID) string {
--- a/internal/control/plan/plan_test.go
+++ b/internal/control/plan/plan_test.go
@@ -211,6 +211,30 @@
 	}
 }
 
+// TestKeysLeaveBeforeShards takes a data centre out: the shards of its upstreams
+// stay where they are until the keys have gone.
+func TestKeysLeaveBeforeShards(t *testing.T) {
+	is := is.New(t)
+	fleet := startFleet(t, spec.RoutingSticky, 6, 6)
+	records, err := spec.ParseDocument([]byte("[[dataCentre]]\nname = \"d1\"\nschema = 1\nversion = 1\ninService = false\n"), spec.FormatTOML)
+	is.NoErr(err)
+	fleet.apply(state.ApplyRecords{Records: records})
+	input := Input{Catalog: fleet.machine.Catalog, Expired: func(uint64) bool { return false }}
+	ordered := 0
+	for _, command := range Decide(input) {
+		switch command := command.(type) {
+		case state.MoveSlots:
+			ordered += len(command.Moves)
+		case state.MoveShards:
+			for _, move := range command.Moves {
+				_, upstream, _ := move.Shard.Dispatch()
+				is.True(upstream == "" || fleet.owned()[upstream] == 0)
+			}
+		}
+	}
+	is.Equal(ordered, fleet.owned()["u1"]+fleet.owned()["u4"])
+}
+
 // TestSlowReturn gives an upstream that joins only a few partitions in a step.
 func TestSlowReturn(t *testing.T) {
 	is := is.New(t)
--- a/internal/control/plan/steward.go
+++ b/internal/control/plan/steward.go
@@ -43,8 +43,10 @@
 	clock       clockwork.Clock
 	log         log.Interface
 	lastBalance time.Time
-	stop        chan struct{}
-	done        chan struct{}
+	// settled is the last catalog that called for nothing.
+	settled *state.Catalog
+	stop    chan struct{}
+	done    chan struct{}
 }
 
 // NewSteward starts the steward of a control host.
@@ -87,8 +89,15 @@
 	if balance {
 		steward.lastBalance = now
 	}
-	input := Input{Catalog: steward.node.Catalog(), Expired: steward.leases.Expired, Balance: balance}
-	for _, command := range Decide(input) {
+	catalog := steward.node.Catalog()
+	input := Input{
+		Catalog: catalog, Expired: steward.leases.Expired, Balance: balance, Settled: catalog == steward.settled,
+	}
+	commands := Decide(input)
+	if len(commands) == 0 {
+		steward.settled = catalog
+	}
+	for _, command := range commands {
 		steward.carryOut(command)
 	}
 }
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
 	"damaskcrank.example/damaskcrank/internal/dispatch/upstr"
@@ -287,6 +288,9 @@
 }
 
 func (shard *Shard) wantsHedge(work *run, now time.Time) bool {
+	if work.lane.policy.Routing == spec.RoutingRoundRobin {
+		return false
+	}
 	if work.hedged || work.settled || work.open != 1 || !work.request.Idempotent() || shard.hedgeBudget < 1 {
 		return false
 	}
--- a/internal/entry/quota/bank_test.go
+++ b/internal/entry/quota/bank_test.go
@@ -203,6 +203,29 @@
 	}
 }
 
+// TestOverloadDoesNotWait keeps sending over the rate: after a second requests
+// are refused soon, and once tokens are left over they may wait again.
+func TestOverloadDoesNotWait(t *testing.T) {
+	is := is.New(t)
+	rig := newPurseRig(t, func(Ask) Lent { return Lent{RetryAfter: time.Second} })
+	began := rig.clock.Now()
+	for rig.clock.Now().Sub(began) < overloadTime {
+		is.True(!rig.verdict(rig.take()).Granted)
+	}
+	began = rig.clock.Now()
+	refused := rig.verdict(rig.take())
+	is.True(!refused.Granted)
+	is.True(refused.RetryAfter > 0)
+	is.True(rig.clock.Now().Sub(began) <= overloadWait+purseTick)
+	rig.lend = func(Ask) Lent { return Lent{Loan: 1, Count: 2} }
+	is.True(rig.verdict(rig.take()).Granted)
+	rig.clock.Advance(LoanTTL)
+	rig.lend = func(Ask) Lent { return Lent{RetryAfter: time.Second} }
+	began = rig.clock.Now()
+	is.True(!rig.verdict(rig.take()).Granted)
+	is.True(rig.clock.Now().Sub(began) >= MaxWait)
+}
+
 // TestPurseDropsExpiredTokens pauses the host for longer than a loan: its
 // tokens are not used any more.
 func TestPurseDropsExpiredTokens(t *testing.T) {
--- a/internal/entry/quota/purse.go
+++ b/internal/entry/quota/purse.go
@@ -14,6 +14,10 @@
 	// takeoverWait is how long it may wait while the bank moves to another host
 	// and just after, when the new bank is still empty.
 	takeoverWait = 1200 * time.Millisecond
+	// overloadTime is how long requests have had to wait for tokens before that
+	// counts as an overload, in which they wait no longer than overloadWait.
+	overloadTime = time.Second
+	overloadWait = 40 * time.Millisecond
 	// maxWaiting bounds the requests of one workspace that wait on one host.
 	maxWaiting = 512
 	askTimeout = 250 * time.Millisecond
@@ -50,6 +54,7 @@
 // taker is a request that waits for a token.
 type taker struct {
 	reply    chan Verdict
+	arrived  time.Time
 	deadline time.Time
 	// last is the deadline that counts around a takeover.
 	last time.Time
@@ -57,7 +62,7 @@
 
 func newTaker(now time.Time, limit time.Duration) taker {
 	return taker{
-		reply: make(chan Verdict, 1), deadline: now.Add(min(limit, MaxWait)), last: now.Add(min(limit, takeoverWait)),
+		reply: make(chan Verdict, 1), arrived: now, deadline: now.Add(min(limit, MaxWait)), last: now.Add(min(limit, takeoverWait)),
 	}
 }
 
@@ -82,10 +87,12 @@
 	noBank   bool
 	// noBankAt is when an ask last found no bank in charge.
 	noBankAt time.Time
-	demand   float64
-	taken    int
-	measured time.Time
-	closed   []Held
+	// shortSince is when requests began to wait without a token ever left over.
+	shortSince time.Time
+	demand     float64
+	taken      int
+	measured   time.Time
+	closed     []Held
 }
 
 // answer is the bank's reply and when the ask was sent.
@@ -198,17 +205,27 @@
 		case !now.Before(purse.deadline(wish, now)):
 			wish.reply <- Verdict{Unavailable: purse.noBank, RetryAfter: max(purse.retry, minAskWait)}
 		default:
+			if purse.shortSince.IsZero() {
+				purse.shortSince = now
+			}
 			return
 		}
 		purse.waiting = purse.waiting[1:]
 	}
+	if purse.tokens() > 0 {
+		purse.shortSince = time.Time{}
+	}
 }
 
-// deadline returns until when a request waits for a token.
+// deadline returns until when a request waits for a token. In a lasting
+// overload waiting saves nobody and only adds to everyone's time.
 func (purse *Purse) deadline(wish taker, now time.Time) time.Time {
 	if now.Sub(purse.noBankAt) < takeoverWait && !purse.noBankAt.IsZero() {
 		return wish.last
 	}
+	if !purse.shortSince.IsZero() && now.Sub(purse.shortSince) >= overloadTime {
+		return wish.arrived.Add(overloadWait)
+	}
 	return wish.deadline
 }
 
--- a/internal/oper/cmds/bench.go
+++ b/internal/oper/cmds/bench.go
@@ -12,6 +12,7 @@
 type benchCommand struct {
 	State   benchStateCommand   `cmd:"" help:"Memory and processor time of the replicated state, by its size."`
 	Hosts   benchHostsCommand   `cmd:"" help:"Heartbeats and configuration changes, by the number of hosts."`
+	Idle    benchIdleCommand    `cmd:"" help:"What idle upstreams cost, by their number."`
 	Commits benchCommitsCommand `cmd:"" help:"Durable commits per second, with and without group commit."`
 	Hop     benchHopCommand     `cmd:"" help:"The price of the way through the system and of the forwarding hop."`
 }
@@ -54,6 +55,17 @@
 	return printLines(streams, benchhostscommand.Output, []slope.Line{leader, host, latency, processor})
 }
 
+type benchIdleCommand struct{ Output }
+
+// Run prints the slope over the number of upstreams.
+func (benchidlecommand *benchIdleCommand) Run(streams *Streams) error {
+	line, err := slope.Upstreams()
+	if err != nil {
+		return Error.New("measure: %w", err)
+	}
+	return printLines(streams, benchidlecommand.Output, []slope.Line{line})
+}
+
 type benchCommitsCommand struct{ Output }
 
 // Run prints the rates.
