--- a/internal/bench/load/measure.go
+++ b/internal/bench/load/measure.go
@@ -40,7 +40,9 @@
 	answered int
 	// overRate are refusals for the rate.
 	overRate int
-	times    *hdrhistogram.Histogram
+	// lastAnswer is when the last answer came, from the start of the run.
+	lastAnswer time.Duration
+	times      *hdrhistogram.Histogram
 }
 
 // write is what a caller was told of a write.
@@ -102,6 +104,7 @@
 	}
 	if result.answered() {
 		tally.answered++
+		tally.lastAnswer = max(tally.lastAnswer, next.due+took)
 		bucket.answered++
 		bucket.slowest = max(bucket.slowest, took)
 		_ = tally.times.RecordValue(min(took, maxRecorded).Microseconds())
@@ -140,8 +143,10 @@
 	// Wrongful are refusals for the rate beyond those of a perfect limiter: the
 	// requests that the rate would have let pass and that were refused.
 	Wrongful int
-	Median   time.Duration
-	P99      time.Duration
+	// Excess are answers beyond rate times time plus burst.
+	Excess int
+	Median time.Duration
+	P99    time.Duration
 }
 
 // Summary is the result of a run in the brief's measures.
@@ -159,6 +164,7 @@
 	// was due in it was answered.
 	LongestGap time.Duration
 	Wrongful   int
+	Excess     int
 	Crossed    int
 	Worst      WorkspaceSummary
 	Workspaces []WorkspaceSummary
@@ -181,10 +187,11 @@
 		Crossed: measures.crossed,
 	}
 	for position, tally := range measures.tallies {
-		row := tally.summary(measures.plan.Workspaces[position].Name)
+		row := tally.summary(measures.plan.Workspaces[position])
 		summary.Offered += row.Offered
 		summary.Answered += row.Answered
 		summary.Wrongful += row.Wrongful
+		summary.Excess += row.Excess
 		summary.Workspaces = append(summary.Workspaces, row)
 		if position == 0 || row.Served < summary.Worst.Served {
 			summary.Worst = row
@@ -198,12 +205,16 @@
 	return summary
 }
 
-func (tally *tally) summary(name string) WorkspaceSummary {
+func (tally *tally) summary(workspace Workspace) WorkspaceSummary {
 	row := WorkspaceSummary{
-		Name: name, Offered: tally.offered, Answered: tally.answered,
+		Name: workspace.Name, Offered: tally.offered, Answered: tally.answered,
 		Wrongful: max(0, tally.within-(tally.offered-tally.overRate)),
 		Median:   quantile(tally.times, quantile50), P99: quantile(tally.times, quantile99), Served: 1,
 	}
+	if workspace.Rate > 0 {
+		allowed := workspace.Rate*tally.lastAnswer.Seconds() + workspace.Burst
+		row.Excess = max(0, tally.answered-int(allowed))
+	}
 	if tally.within > 0 {
 		row.Served = min(1, float64(tally.answered)/float64(tally.within))
 	}
--- a/internal/bench/scene/scene.go
+++ b/internal/bench/scene/scene.go
@@ -103,6 +103,8 @@
 	// default.
 	Routing   string
 	Admission string
+	// Flood is how many times its share the first workspace sends; 0 is once.
+	Flood float64
 }
 
 // Scene is a running fleet with upstreams and records.
@@ -234,9 +236,12 @@
 		plan.Targets = append(plan.Targets, scene.Fleet.CallerAddress(number))
 		plan.Health = append(plan.Health, scene.Fleet.OperatorAddress(number))
 	}
-	for _, tenant := range user.Workspaces {
+	for position, tenant := range user.Workspaces {
 		perSecond := scene.options.PerSecond * tenant.Share
 		limit := perSecond * scene.options.RateFactor
+		if position == 0 && scene.options.Flood > 0 {
+			perSecond *= scene.options.Flood
+		}
 		plan.Workspaces = append(plan.Workspaces, load.Workspace{
 			Name: tenant.Name, Key: front.FormatKey(tenant.Name, keySecret), PerSecond: perSecond, Rate: limit, Burst: burst(limit),
 		})
--- /dev/null
+++ b/internal/dispatch/calls/calls_test.go
@@ -0,0 +1,64 @@
+package calls
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
+)
+
+func TestOverLink(t *testing.T) {
+	is := is.New(t)
+	request := Request{
+		ID: "r", Workspace: "w", Service: "s", Key: "k", Method: http.MethodPost, Target: "/x?y", Remaining: time.Second,
+		Header: []state.HeaderField{{Name: "A", Value: "b"}}, Shard: "dispatch/s", ShardEpoch: 7, Body: []byte("body"),
+	}
+	request.SetFingerprint()
+	payload, err := EncodeRequest(request)
+	is.NoErr(err)
+	received, err := DecodeRequest(payload)
+	is.NoErr(err)
+	is.Equal(received, request)
+	for _, outcome := range []Outcome{
+		Answered{Answer: state.Answer{Status: 201, Header: request.Header, Body: []byte("made")}, Replayed: true, Upstream: "u"},
+		Refused{Reason: ReasonShardMoved, Ran: RanNot, Detail: "moved", RetryAfter: time.Second},
+	} {
+		payload, err := EncodeOutcome(outcome)
+		is.NoErr(err)
+		received, err := DecodeOutcome(payload)
+		is.NoErr(err)
+		is.Equal(received, outcome)
+	}
+}
+
+// TestFingerprint differs with each part of the content, and with how the parts
+// are split, but not with the idempotency key.
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]bool{}
+	for _, request := range []Request{
+		{Workspace: "a", Service: "b"}, {Workspace: "ab"}, {Workspace: "a", Key: "b"}, {Workspace: "a", Method: "b"},
+		{Workspace: "a", Target: "b"}, {Workspace: "a", Body: []byte("b")},
+	} {
+		request.SetFingerprint()
+		is.True(!seen[request.Fingerprint])
+		seen[request.Fingerprint] = true
+	}
+	request := Request{Workspace: "a", Service: "b", IdempotencyKey: "k"}
+	request.SetFingerprint()
+	is.True(seen[request.Fingerprint])
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(KindRefusal, []byte{0xa0}, []byte("body"))
+	f.Add(KindAnswer, []byte{0xf6}, []byte(nil))
+	f.Fuzz(func(_ *testing.T, kind string, head, body []byte) {
+		payload := links.Payload{Kind: kind, Head: head, Body: body}
+		_, _ = DecodeRequest(payload)
+		_, _ = DecodeOutcome(payload)
+	})
+}
--- a/internal/dispatch/shard/load_test.go
+++ b/internal/dispatch/shard/load_test.go
@@ -260,3 +260,59 @@
 	is.True(retries <= budgetLimit+requests/10) // a tenth of the requests, and what was saved up
 	is.True(retries > 0)
 }
+
+// TestPoliciesShareTraffic splits live traffic between two policies, and takes
+// one of them away while its requests wait.
+func TestPoliciesShareTraffic(t *testing.T) {
+	is := is.New(t)
+	rig := newRig(t, rigDesk, 1)
+	rig.apply(`
+[[policy]]
+name = "one"
+schema = 1
+version = 1
+routing = "latencyTwoChoices"
+[[policy]]
+name = "two"
+schema = 1
+version = 1
+routing = "roundRobin"
+admission = "fifo"
+[[service]]
+name = "dispatchdesk"
+schema = 2
+version = 2
+policies = [{ name = "one", share = 3 }, { name = "two", share = 1 }]
+`)
+	rig.shard.follow()
+	next := 0
+	rig.shard.env.Random = func(n int) int {
+		next++
+		return next * 7919 % 100 * n / 100
+	}
+	release := make(chan struct{})
+	rig.upstreams.send = func(context.Context, upstr.Call) upstr.Result {
+		<-release
+		return upstr.Answered{Answer: state.Answer{Status: http.StatusOK}}
+	}
+	var works []*run
+	for range 100 {
+		works = append(works, rig.submit(request(rigDesk, http.MethodGet, "")))
+	}
+	waiting := map[string]int{}
+	for _, lane := range rig.shard.lanes {
+		waiting[lane.policy.Name] = lane.queue.Len()
+	}
+	is.True(waiting["two"] >= 20 && waiting["two"] <= 30) // a quarter of a hundred
+	rig.apply("[[service]]\nname = \"dispatchdesk\"\nschema = 1\nversion = 3\npolicies = [\"one\"]\n")
+	rig.shard.follow()
+	is.Equal(len(rig.shard.lanes), 1)
+	close(release)
+	for _, work := range works {
+		_, ok := rig.outcome(work).(calls.Answered)
+		is.True(ok) // nothing that waited under the other policy is lost
+	}
+	status := rig.shard.status()
+	is.Equal(len(status.Policies), 1)
+	is.Equal(status.Policies[0].Policy, "one")
+}
--- a/internal/oper/cmds/load.go
+++ b/internal/oper/cmds/load.go
@@ -25,6 +25,7 @@
 	Duration   time.Duration     `default:"20s" help:"How long to send load."`
 	PerSecond  float64           `default:"400" help:"Requests per second of all workspaces together."`
 	RateFactor float64           `default:"1.5" help:"Each workspace's rate as a multiple of its load; below 1 they send over their rates."`
+	Flood      float64           `default:"1" help:"The first workspace sends this many times its share."`
 	Routing    string            `help:"The routing policy; empty is the default."`
 	Admission  string            `help:"The admission policy; empty is the default."`
 	Faults     []scene.FaultKind `help:"Faults to cause in turn: straggler, datacentre, host, leader, upstream, freeze, cold, shutdown."`
@@ -85,7 +86,7 @@
 	_, _ = fmt.Fprintf(streams.Err, "starting %d hosts and %d upstreams\n", user.Hosts, user.KeyedUpstreams+user.DeskUpstreams)
 	running, err := scene.Start(ctx, scene.Options{
 		User: user, Folder: folder, Log: logger, PerSecond: loadcommand.PerSecond, RateFactor: loadcommand.RateFactor,
-		Routing: loadcommand.Routing, Admission: loadcommand.Admission,
+		Routing: loadcommand.Routing, Admission: loadcommand.Admission, Flood: loadcommand.Flood,
 	})
 	if err != nil {
 		return LoadResult{}, Error.New("start scene: %w", err)
@@ -126,12 +127,17 @@
 	rows.row("load imbalance (busiest / mean)", fmt.Sprintf("%.2f", result.Imbalance))
 	rows.row("churn (changes of a partition's owner)", result.Churn)
 	rows.row("wrongful refusals", summary.Wrongful)
+	rows.row("answers beyond rate and burst", summary.Excess)
 	rows.row("worst-served workspace", fmt.Sprintf("%s, %.2f %% of its requests within the rate", summary.Worst.Name, summary.Worst.Served*100))
 	rows.row("writes: sent, acknowledged", fmt.Sprintf("%d, %d", result.Writes.Writes, result.Writes.Acknowledged))
 	rows.row("writes: lost, doubled, falsely 'not run'", fmt.Sprintf("%d, %d, %d", result.Writes.Lost, result.Writes.Doubled, result.Writes.FalseNotRun))
 	rows.row("answers of other requests", summary.Crossed)
 	rows.row("breaches: slots, cold start, ownership, caller keys", fmt.Sprintf("%d, %d, %d, %d",
 		result.Breaches.OverSlots, result.Breaches.OverCold, result.Breaches.NotOwner, result.Breaches.CallerKeys))
+	for _, workspace := range summary.Workspaces {
+		rows.row("workspace "+workspace.Name, fmt.Sprintf("%d of %d answered, %.2f %% of those within the rate, p99 %s",
+			workspace.Answered, workspace.Offered, workspace.Served*100, workspace.P99))
+	}
 	for _, reason := range summary.Reasons {
 		rows.row("refused: "+reason.Reason, reason.Count)
 	}
--- a/internal/oper/cmds/stand.go
+++ b/internal/oper/cmds/stand.go
@@ -12,16 +12,17 @@
 )
 
 type standCommand struct {
-	Service    string           `arg:"" help:"The service that it belongs to."`
-	Name       string           `arg:"" help:"Its name."`
-	Address    netip.AddrPort   `default:"127.0.0.1:0" help:"Where it listens."`
-	DataCentre string           `default:"local" help:"Its data centre."`
-	Operators  []netip.AddrPort `default:"127.0.0.1:7401" help:"The operator addresses of hosts that take its announcements."`
-	Keyed      bool             `help:"Serve only keys that it was granted."`
-	Slots      int              `default:"2" help:"How many requests it runs at a time."`
-	Work       time.Duration    `default:"10ms" help:"How long a request takes."`
-	ColdRate   float64          `default:"10" help:"Requests per second that it bears when cold."`
-	ColdRamp   time.Duration    `default:"5s" help:"The time from cold to full load."`
+	Service     string           `arg:"" help:"The service that it belongs to."`
+	Name        string           `arg:"" help:"Its name."`
+	Address     netip.AddrPort   `default:"127.0.0.1:0" help:"Where it listens."`
+	DataCentre  string           `default:"local" help:"Its data centre."`
+	Operators   []netip.AddrPort `default:"127.0.0.1:7401" help:"The operator addresses of hosts that take its announcements."`
+	Keyed       bool             `help:"Serve only keys that it was granted."`
+	Slots       int              `default:"2" help:"How many requests it runs at a time."`
+	Connections int              `default:"130" help:"How many connections it takes."`
+	Work        time.Duration    `default:"10ms" help:"How long a request takes."`
+	ColdRate    float64          `default:"10" help:"Requests per second that it bears when cold."`
+	ColdRamp    time.Duration    `default:"5s" help:"The time from cold to full load."`
 }
 
 // Run runs a stand-in until a signal ends it.
@@ -30,7 +31,8 @@
 		Service: standcommand.Service, Name: standcommand.Name, DataCentre: standcommand.DataCentre,
 		Address: standcommand.Address, Operators: standcommand.Operators, Slots: standcommand.Slots,
 		Work: standcommand.Work, ColdRate: standcommand.ColdRate, ColdRamp: standcommand.ColdRamp,
-		Keyed: standcommand.Keyed, KeyHeader: "Resource-Key", ChecksToken: standcommand.Keyed, Connections: 128,
+		Keyed: standcommand.Keyed, KeyHeader: "Resource-Key", ChecksToken: standcommand.Keyed,
+		Connections: standcommand.Connections,
 	}, &stand.Journal{})
 	if err != nil {
 		return Error.New("start stand-in: %w", err)
