Guard each write by the lease; tell waits from overload

Change: the connection asks for the lease directly before each write. The wait for tokens counts as an overload only while someone always waits in vain. Dead code removed; load checks the names of its faults.

Conclusion: what a paused primary may still send is what the kernel already has.

--- a/internal/bench/scene/scene.go
+++ b/internal/bench/scene/scene.go
@@ -317,6 +317,7 @@
 		sum.OverCold += breaches.OverCold
 		sum.NotOwner += breaches.NotOwner
 		sum.CallerKeys += breaches.CallerKeys
+		sum.Fenced += breaches.Fenced
 	}
 	return sum
 }
--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -36,14 +35,22 @@
 }
 
 // NewClient returns a client that opens at most connections to one upstream.
-func NewClient(connections int) *Client {
-	return &Client{transport: newTransport(connections), grants: newTransport(2)}
+// It asks allowed directly before each write on a connection, and writes
+// nothing where that is false; nil allows everything.
+func NewClient(connections int, allowed func() bool) *Client {
+	return &Client{transport: newTransport(connections, allowed), grants: newTransport(2, allowed)}
 }
 
-func newTransport(connections int) *http.Transport {
+func newTransport(connections int, allowed func() bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, Error.New("dial: %w", err)
+			}
+			return &guarded{Conn: conn, allowed: allowed}, nil
+		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
@@ -58,6 +65,25 @@
 	client.grants.CloseIdleConnections()
 }
 
+// errNotAllowed says that a write was held back.
+var errNotAllowed = Error.New("the lease ended before the write")
+
+// guarded is a connection that is written to only while that is allowed, so
+// that a pause between a lease's check and the write sends nothing.
+type guarded struct {
+	net.Conn
+
+	allowed func() bool
+}
+
+// Write writes the data, or fails with errNotAllowed.
+func (guarded *guarded) Write(data []byte) (int, error) {
+	if guarded.allowed != nil && !guarded.allowed() {
+		return 0, errNotAllowed
+	}
+	return guarded.Conn.Write(data) //nolint:wrapcheck // a connection's errors must stay bare
+}
+
 // once is a body that net/http can't read a second time, so that it never
 // sends a request again by itself.
 type once struct{ reader io.Reader }
@@ -268,9 +294,3 @@
 	}
 	return ack, nil
 }
-
-// Gone tells whether an error shows that nothing listens at the address.
-func Gone(err error) bool {
-	var refused *net.OpError
-	return errors.As(err, &refused) && refused.Op == "dial" && !refused.Timeout()
-}
--- a/internal/entry/quota/bank_test.go
+++ b/internal/entry/quota/bank_test.go
@@ -226,6 +226,30 @@
 	is.True(rig.clock.Now().Sub(began) >= MaxWait)
 }
 
+// TestSteadyWaitsAreNoOverload lets each request wait a little for exactly one
+// token, for longer than an overload takes to show: the next one may wait for
+// as long as ever.
+func TestSteadyWaitsAreNoOverload(t *testing.T) {
+	is := is.New(t)
+	rig := newPurseRig(t, nil)
+	began := rig.clock.Now()
+	var asked time.Time
+	rig.lend = func(Ask) Lent {
+		if rig.clock.Now().Sub(asked) < 20*time.Millisecond {
+			return Lent{RetryAfter: 5 * time.Millisecond}
+		}
+		return Lent{Loan: 1, Count: 1}
+	}
+	for rig.clock.Now().Sub(began) < 2*overloadTime {
+		asked = rig.clock.Now()
+		is.True(rig.verdict(rig.take()).Granted)
+	}
+	rig.lend = func(Ask) Lent { return Lent{RetryAfter: time.Second} }
+	began = rig.clock.Now()
+	is.True(!rig.verdict(rig.take()).Granted)
+	is.True(rig.clock.Now().Sub(began) >= MaxWait)
+}
+
 // TestPurseDropsExpiredTokens pauses the host for longer than a loan: its
 // tokens are not used any more.
 func TestPurseDropsExpiredTokens(t *testing.T) {
--- a/internal/entry/quota/purse.go
+++ b/internal/entry/quota/purse.go
@@ -87,7 +87,7 @@
 	noBank   bool
 	// noBankAt is when an ask last found no bank in charge.
 	noBankAt time.Time
-	// shortSince is when requests began to wait without a token ever left over.
+	// shortSince is since when there was always one that waited in vain.
 	shortSince time.Time
 	demand     float64
 	taken      int
@@ -197,13 +197,16 @@
 func (purse *Purse) serve() {
 	now := purse.clock.Now()
 	purse.expire(now)
+	satisfied := false
 	for len(purse.waiting) > 0 {
 		wish := purse.waiting[0]
 		switch {
 		case purse.spend():
 			wish.reply <- Verdict{Granted: true}
+			satisfied = true
 		case !now.Before(purse.deadline(wish, now)):
 			wish.reply <- Verdict{Unavailable: purse.noBank, RetryAfter: max(purse.retry, minAskWait)}
+			satisfied = false
 		default:
 			if purse.shortSince.IsZero() {
 				purse.shortSince = now
@@ -212,7 +215,8 @@
 		}
 		purse.waiting = purse.waiting[1:]
 	}
-	if purse.tokens() > 0 {
+	if satisfied {
+		// The last one that waited got its token.
 		purse.shortSince = time.Time{}
 	}
 }
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -181,7 +181,7 @@
 }
 
 func (host *Host) startDuties() error {
-	host.upstream = upstr.NewClient(upstreamConnections)
+	host.upstream = upstr.NewClient(upstreamConnections, host.pulse.Valid)
 	env := shard.Env{
 		Host: host.options.Settings.Host.Name, Lease: host.pulse, Catalog: host.follower.Catalog,
 		Control: host.client, Upstreams: host.upstream, Clock: host.options.Clock, Log: host.options.Log,
@@ -263,9 +263,6 @@
 // Node returns the host's control node, or nil.
 func (host *Host) Node() *group.Node { return host.node }
 
-// Stats returns the host's metrics.
-func (host *Host) Stats() *stats.Set { return host.stats }
-
 // Failed is closed when the control node ended by itself.
 func (host *Host) Failed() <-chan struct{} {
 	if host.node == nil {
--- a/internal/oper/cmds/load.go
+++ b/internal/oper/cmds/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,11 @@
 
 // Run starts a fleet, sends the load, causes the faults and prints measures.
 func (loadcommand *loadCommand) Run(streams *Streams) error {
+	for _, fault := range loadcommand.Faults {
+		if !slices.Contains(scene.FaultKinds(), fault) {
+			return &exitError{code: ExitUsage, err: Error.New("fault %q is none of %v", fault, scene.FaultKinds())}
+		}
+	}
 	result, err := loadcommand.measure(streams)
 	if err != nil {
 		return err
@@ -134,6 +140,7 @@
 	rows.row("answers of other requests", summary.Crossed)
 	rows.row("breaches: slots, cold start, ownership, caller keys", fmt.Sprintf("%d, %d, %d, %d",
 		result.Breaches.OverSlots, result.Breaches.OverCold, result.Breaches.NotOwner, result.Breaches.CallerKeys))
+	rows.row("requests that upstreams fenced off", result.Breaches.Fenced)
 	for _, workspace := range summary.Workspaces {
 		rows.row("workspace "+workspace.Name, fmt.Sprintf("%d of %d answered, %.2f %% of those within the rate, p99 %s",
 			workspace.Answered, workspace.Offered, workspace.Served*100, workspace.P99))
