Bound the churn of an overload; profile load runs

Cause: with all workspaces far over capacity the relief of full upstreams moved 692 partitions in 10 s: every upstream was full, and each kept handing keys on.

--- a/internal/dispatch/shard/relief.go
+++ b/internal/dispatch/shard/relief.go
@@ -20,8 +20,10 @@
 	pressureTime = 400 * time.Millisecond
 	// calmTime is how long it is absent before the upstream may get keys again.
 	calmTime = 5 * time.Second
-	// movePause is the time between two moves away from an upstream.
-	movePause = time.Second
+	// movePause is the time between the first two moves away from an upstream; it
+	// doubles with each, so that an overload of all costs little churn.
+	movePause    = time.Second
+	maxMovePause = time.Minute
 	// reliefShare is the share of the load that one move takes away.
 	reliefShare = 0.3
 	// maxReliefSlots bounds the slots of one move.
@@ -39,7 +41,9 @@
 	since     time.Time
 	calmSince time.Time
 	movedAt   time.Time
-	waited    time.Duration
+	// moves counts the moves since the last calm time.
+	moves  int
+	waited time.Duration
 }
 
 // observe counts a request for the slot, and how long it waited.
@@ -76,6 +80,15 @@
 	return now.Sub(relief.since)
 }
 
+// pause is the time from the last move to the next.
+func (relief *relief) pause() time.Duration {
+	pause := movePause
+	for range relief.moves - 1 {
+		pause = min(2*pause, maxMovePause)
+	}
+	return pause
+}
+
 // choose returns the slots to move away.
 func (relief *relief) choose(straggling bool) []state.Slot {
 	slots := slices.SortedFunc(maps.Keys(relief.demand), func(left, right state.Slot) int {
@@ -117,8 +130,12 @@
 	case lasted >= pressureTime && !full:
 		shard.mark(target, true)
 	}
-	if lasted >= pressureTime && now.Sub(shard.relief.movedAt) >= movePause {
+	if calm {
+		shard.relief.moves = 0
+	}
+	if lasted >= pressureTime && now.Sub(shard.relief.movedAt) >= shard.relief.pause() {
 		shard.relief.movedAt = now
+		shard.relief.moves++
 		shard.moveAway(shard.relief.choose(target.slow()))
 	}
 }
--- a/internal/oper/cmds/bench.go
+++ b/internal/oper/cmds/bench.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"runtime/pprof"
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/bench/slope"
@@ -86,33 +84,15 @@
 
 type benchHopCommand struct {
 	Output
+	Profile
 
 	Clients int           `default:"16" help:"How many clients send requests one after another."`
 	Length  time.Duration `default:"4s" help:"How long to measure each way."`
-	Profile string        `help:"Write a processor profile to this file." placeholder:"FILE"`
-}
-
-// profile starts a profile and returns how it ends.
-func (benchhopcommand *benchHopCommand) profile() (func(), error) {
-	if benchhopcommand.Profile == "" {
-		return func() {}, nil
-	}
-	file, err := os.Create(benchhopcommand.Profile)
-	if err != nil {
-		return nil, Error.New("create profile: %w", err)
-	}
-	if err := pprof.StartCPUProfile(file); err != nil {
-		return nil, Error.New("start profile: %w", err)
-	}
-	return func() {
-		pprof.StopCPUProfile()
-		_ = file.Close()
-	}, nil
 }
 
 // Run prints the price of each way.
 func (benchhopcommand *benchHopCommand) Run(streams *Streams) error {
-	stop, err := benchhopcommand.profile()
+	stop, err := benchhopcommand.start()
 	if err != nil {
 		return err
 	}
--- a/internal/oper/cmds/load.go
+++ b/internal/oper/cmds/load.go
@@ -21,6 +21,7 @@
 
 type loadCommand struct {
 	Output
+	Profile
 
 	User       string            `default:"jordan" enum:"jordan,gandaki" help:"Whose fleet to start: jordan or gandaki."`
 	Duration   time.Duration     `default:"20s" help:"How long to send load."`
@@ -99,6 +100,11 @@
 	}
 	defer running.Close()
 	_, _ = fmt.Fprintf(streams.Err, "sending load for %s\n", loadcommand.Duration)
+	stopProfile, err := loadcommand.start()
+	if err != nil {
+		return LoadResult{}, err
+	}
+	defer stopProfile()
 	counting, stopCounting := context.WithCancel(ctx)
 	defer stopCounting()
 	moves := running.CountMoves(counting)
