--- a/internal/bench/slope/hosts.go
+++ b/internal/bench/slope/hosts.go
@@ -214,8 +214,8 @@
 		follower := fetch.NewFollower(source, func() uint64 { return 0 }, &log.Logger{Handler: discard.New()})
 		follower.Start()
 		followers = append(followers, follower)
-		defer source.Close()
 		defer follower.Close()
+		defer source.Close() // first, so that no follower waits for news
 	}
 	used := spent(func() {
 		for version := range changes {
