End the leader's lease before another member takes over

Cause: while leadership was handed over, heartbeats were answered for as long as the turn's sync took, after the other member had been asked to take over; and the leader's lease left no room for clocks that differ.

--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -296,7 +296,10 @@
 	case changeRequest:
 		node.change(message, work)
 	case transferRequest:
-		message.reply <- node.transfer(work)
+		started := node.transfer(work)
+		// The lease ends before the other member is asked to take over.
+		node.publish()
+		message.reply <- started
 	case snapshotRequest:
 		node.finishSnapshot(message, work)
 	case formRequest:
--- a/internal/control/plan/plan.go
+++ b/internal/control/plan/plan.go
@@ -28,6 +28,12 @@
 	loadSlack = 1
 )
 
+// MaxOwned is the number of slots that the sticky policy leaves an upstream
+// with at most, once it has settled.
+func MaxOwned(slots, upstreams int) int {
+	return (slots+upstreams-1)/upstreams + loadSlack
+}
+
 // Input is what a decision depends on.
 type Input struct {
 	Catalog *state.Catalog
--- a/internal/control/plan/slots.go
+++ b/internal/control/plan/slots.go
@@ -74,7 +74,7 @@
 // balanceMoves takes partitions from upstreams that own more than the mean
 // and the slack allow, and gives each upstream only a few at a time. Single keys stay: they were placed on purpose.
 func balanceMoves(slots []slotOwner, owned map[string]int, takers []string) []state.SlotMove {
-	limit := (len(slots)+len(owned)-1)/len(owned) + loadSlack
+	limit := MaxOwned(len(slots), len(owned))
 	gained := map[string]int{}
 	var moves []state.SlotMove
 	for _, slot := range slots {
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -5,7 +5,12 @@
 	"time"
 )
 
-const defaultMaxBatch = 256
+const (
+	defaultMaxBatch = 256
+	// leaseTenths is the part of an election timeout that a leader's lease lasts,
+	// in tenths; the rest is for clocks that run at different speeds.
+	leaseTenths = 9
+)
 
 // progress is what a leader knows of one member.
 type progress struct {
@@ -144,7 +149,7 @@
 	if contact.IsZero() {
 		return time.Time{}
 	}
-	return contact.Add(core.config.ElectionTimeout)
+	return contact.Add(core.config.ElectionTimeout * leaseTenths / 10)
 }
 
 // EntriesAfter returns committed entries after index, at most limit of them,
--- a/internal/control/raft/raft_test.go
+++ b/internal/control/raft/raft_test.go
@@ -325,6 +325,31 @@
 	is.True(leader.CommitIndex() >= output.FirstIndex) // leader and newcomer are a majority
 }
 
+// TestTransferEndsLease ends the leader's lease in the step that asks another
+// member to take over, and for good in that term if that member never does.
+func TestTransferEndsLease(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 11, t.Fatalf)
+	group.pass(time.Second)
+	old := group.leader()
+	term := old.Term()
+	target := memberName(0)
+	if old.config.ID == target {
+		target = memberName(1)
+	}
+	group.cut[target] = true
+	is.NoErr(group.step(old.config.ID, Transfer{To: target}).Err)
+	is.True(old.LeaseEnd().IsZero())
+	for old.Term() == term && old.Role() == RoleLeader {
+		is.True(old.LeaseEnd().IsZero())
+		group.pass(10 * time.Millisecond)
+	}
+	group.cut[target] = false
+	group.pass(time.Second)
+	is.True(group.leader() != nil)
+	is.True(group.leader().Term() > term)
+}
+
 func TestRead(t *testing.T) {
 	is := is.New(t)
 	group := newGroup(3, 10, t.Fatalf)
