Open a host's peer port after the parts that links ask

Cause: a host opened its peer port before its duties stood. Other hosts know a restarted host from before, so a request could come in that moment and end the process (found by reading; no run had hit it). The source of hosts' progress was set without a barrier.

Change: the port opens after the duties; the source is an atomic pointer. A test sends requests from before the start until the first answer.

Conclusion: start order is now the order of dependence.

--- a/internal/bench/fleet/fault_test.go
+++ b/internal/bench/fleet/fault_test.go
@@ -14,8 +14,10 @@
 
 	"damaskcrank.example/damaskcrank/internal/bench/stand"
 	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
 	"damaskcrank.example/damaskcrank/internal/entry/front"
 	"damaskcrank.example/damaskcrank/internal/oper/admin"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
 )
 
 // writeUntilDone sends a write as a caller does: again through the next host,
@@ -202,3 +204,32 @@
 	is.NoErr(fleet.AwaitReady(ctx))
 	is.NoErr(fleet.Apply(ctx, 3, "[[workspace]]\nname = \"after\"\nschema = 1\nversion = 1\n"))
 }
+
+// TestLinksDuringStart sends requests to a host's peer port from before it
+// starts until it answers: the first answer is an honest refusal.
+func TestLinksDuringStart(t *testing.T) {
+	is := is.New(t)
+	fleet, ctx := startSmall(t)
+	fleet.KillHost(3)
+	client, err := links.NewClient(fleet.secret, nil)
+	is.NoErr(err)
+	defer client.Close()
+	payload, err := calls.EncodeRequest(calls.Request{Shard: state.DispatchShard("fieldjobs", "jobs-0"), ShardEpoch: 1})
+	is.NoErr(err)
+	first := make(chan links.Payload, 1)
+	go func() {
+		for ctx.Err() == nil {
+			if reply, err := client.Call(ctx, fleet.address(4, peerPort), payload); err == nil {
+				first <- reply
+				return
+			}
+		}
+	}()
+	is.NoErr(fleet.StartHost(3))
+	outcome, err := calls.DecodeOutcome(<-first)
+	is.NoErr(err)
+	refused, ok := outcome.(calls.Refused)
+	is.True(ok)
+	is.Equal(refused.Reason, calls.ReasonShardMoved)
+	is.Equal(refused.Ran, calls.RanNot)
+}
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -74,7 +74,7 @@
 	done     chan struct{}
 	catalog  atomic.Pointer[state.Catalog]
 	status   atomic.Pointer[Status]
-	progress ProgressSource
+	progress atomic.Pointer[ProgressSource]
 
 	core       *raft.Core
 	disk       *store.Disk
@@ -179,9 +179,8 @@
 // Changed signals that the catalog or the member's role may have changed.
 func (node *Node) Changed() <-chan struct{} { return node.changed }
 
-// SetProgress says where the leader learns how far hosts are. It must be called
-// before the node serves requests for it.
-func (node *Node) SetProgress(source ProgressSource) { node.progress = source }
+// SetProgress says where the leader learns how far hosts are.
+func (node *Node) SetProgress(source ProgressSource) { node.progress.Store(&source) }
 
 // Leads tells whether the member leads and no other member can lead now.
 func (node *Node) Leads() bool {
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -245,13 +245,14 @@
 
 // lagging compares what live hosts reported with the index.
 func (node *Node) lagging(index uint64) LaggingReply {
-	if !node.Leads() || node.progress == nil {
+	source := node.progress.Load()
+	if !node.Leads() || source == nil {
 		return LaggingReply{NotLeader: true}
 	}
 	reply := LaggingReply{}
 	sessions := node.Catalog().Sessions
 	known := map[string]HostProgress{}
-	for _, progress := range node.progress.HostProgress() {
+	for _, progress := range (*source).HostProgress() {
 		known[progress.Host] = progress
 	}
 	for name := range sessions {
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -94,7 +94,7 @@
 		stats: &stats.Set{}, stop: make(chan struct{}),
 	}
 	for _, start := range []func() error{
-		host.startControl, host.startPeers, host.startDuties, host.startServers,
+		host.startControl, host.startPeers, host.startDuties, host.openPeerPort, host.startServers,
 	} {
 		if err := start(); err != nil {
 			host.Kill()
@@ -169,11 +169,19 @@
 	}
 	host.follower = fetch.NewFollower(host.client, func() uint64 { return host.pulse.LeaderIndex() }, host.options.Log)
 	host.pulse = beats.NewPulse(host.options.Secret, host.options.Clock, settings.Host.Name, host.boot, host.follower.Catalog)
+	return nil
+}
+
+// openPeerPort takes links and heartbeats. It comes after all parts that links
+// ask, since other hosts may still know this host from before a restart.
+func (host *Host) openPeerPort() error {
 	var answer links.Datagram
 	if host.keeper != nil {
 		answer = host.keeper.Answer
 	}
-	host.server, err = links.Listen(settings.Peer.Address, host.options.Secret, host.serveLink, answer, host.options.Log)
+	var err error
+	address := host.options.Settings.Peer.Address
+	host.server, err = links.Listen(address, host.options.Secret, host.serveLink, answer, host.options.Log)
 	if err != nil {
 		return Error.New("start peer port: %w", err)
 	}
