Serve the users' platform by the whole path, thin

Cause: the platform's hosts, upstreams and operators speak a protocol of their own, and requests that go through a primary cross data centres twice.

Change: entry hosts send straight to upstreams (relay, admit, pool); the control leader answers heartbeats with grants of key ranges (steer, spans), keeps items with versions of their own (items) and divides rates (share); control hosts join by themselves (roster). platform/ translates names and formats.

Ruled out: one settings file in the platform's notation; a template gives the host its own.

Conclusion: 429s within the rate and hosts that are not ready are next.

--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -33,6 +33,15 @@
 	return &log.Logger{Level: parsed, Handler: handler(file, file, format)}, nil
 }
 
+// NewJSON returns a logger that writes JSON lines.
+func NewJSON(writer io.Writer, level string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, Error.New("log level %q: %w", level, err)
+	}
+	return &log.Logger{Level: parsed, Handler: json.New(writer)}, nil
+}
+
 func handler(writer io.Writer, file *os.File, format Format) log.Handler {
 	if format == FormatJSON || format != FormatText && !Terminal(file) {
 		return json.New(writer)
--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -19,16 +19,20 @@
 
 // Client lets a host talk to the control group. It is safe for concurrent use.
 type Client struct {
+	secret trust.Secret
+	mutex  sync.Mutex
+	// wires only grows.
 	wires []*wire
-	mutex sync.Mutex
 	// leader is the position of the wire that last led to the leader.
 	leader int
 	source int
+	// near are the control hosts of the client's data centre.
+	near map[netip.AddrPort]bool
 }
 
 // NewClient returns a client of the control hosts at the addresses.
 func NewClient(addresses []netip.AddrPort, secret trust.Secret) *Client {
-	client := &Client{}
+	client := &Client{secret: secret}
 	for _, address := range addresses {
 		client.wires = append(client.wires, newWire(address, secret))
 	}
@@ -98,14 +102,14 @@
 
 // Hello asks the control host at the address which member it is.
 func (client *Client) Hello(address netip.AddrPort) (HelloReply, error) {
-	for _, wire := range client.wires {
+	for _, wire := range client.all() {
 		if wire.address == address {
 			reply := HelloReply{}
 			err := wire.call("Control.Hello", HelloArgs{}, &reply, helloTimeout)
 			return reply, err
 		}
 	}
-	wire := newWire(address, client.wires[0].secret)
+	wire := newWire(address, client.secret)
 	defer wire.close()
 	reply := HelloReply{}
 	err := wire.call("Control.Hello", HelloArgs{}, &reply, helloTimeout)
@@ -117,8 +121,8 @@
 func (client *Client) onLeader(ctx context.Context, call func(*wire) (leads bool, hint string, err error)) error {
 	var last error
 	for attempt := 0; ; attempt++ {
-		position := client.position()
-		leads, hint, err := call(client.wires[position])
+		position, wire, count := client.position()
+		leads, hint, err := call(wire)
 		if err == nil && leads {
 			return nil
 		}
@@ -126,7 +130,7 @@
 			last = err
 		}
 		client.moveOn(position, hint)
-		if (attempt+1)%len(client.wires) != 0 && ctx.Err() == nil {
+		if (attempt+1)%count != 0 && ctx.Err() == nil {
 			continue
 		}
 		select {
@@ -140,10 +144,29 @@
 	}
 }
 
-func (client *Client) position() int {
+// position returns where the leader is believed to be, among how many.
+func (client *Client) position() (position int, leader *wire, count int) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	return client.leader
+	return client.leader, client.wires[client.leader], len(client.wires)
+}
+
+// CallLeader makes one call of another service of the leader. The reply tells
+// whether its host leads and which one it believes does.
+func (client *Client) CallLeader(ctx context.Context, method string, args any, reply LeaderReply) error {
+	return client.onLeader(ctx, func(wire *wire) (bool, string, error) {
+		if err := wire.call(method, args, reply, callTimeout); err != nil {
+			return false, "", err
+		}
+		leads, hint := reply.FromLeader()
+		return leads, hint, nil
+	})
+}
+
+// LeaderReply is a reply that tells whether it came from the leader, and where
+// the leader is if not.
+type LeaderReply interface {
+	FromLeader() (leads bool, hint string)
 }
 
 // moveOn tries the hinted leader next, or else the next host.
@@ -165,11 +188,11 @@
 // host; it turns to the next one after a failure.
 func (client *Client) Fetch(after uint64, wait time.Duration) (FetchReply, error) {
 	client.mutex.Lock()
-	source := client.source
+	source := client.wires[client.source]
 	client.mutex.Unlock()
 	reply := FetchReply{}
 	args := FetchArgs{After: after, Wait: wait}
-	err := client.wires[source].call("Control.Fetch", args, &reply, wait+fetchSlack)
+	err := source.call("Control.Fetch", args, &reply, wait+fetchSlack)
 	if err != nil || reply.Upto < after {
 		client.NextSource()
 	}
@@ -183,9 +206,30 @@
 	client.source = (client.source + 1) % len(client.wires)
 }
 
+// Prefer makes fetches go to a control host of the client's own data centre
+// again, after others had to be asked.
+func (client *Client) Prefer(near []netip.AddrPort) {
+	client.Learn(near)
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	client.near = map[netip.AddrPort]bool{}
+	for _, address := range near {
+		client.near[address] = true
+	}
+	if client.near[client.wires[client.source].address] {
+		return
+	}
+	for position, wire := range client.wires {
+		if client.near[wire.address] && !wire.resting() {
+			client.source = position
+			return
+		}
+	}
+}
+
 // Close ends all connections.
 func (client *Client) Close() {
-	for _, wire := range client.wires {
+	for _, wire := range client.all() {
 		wire.close()
 	}
 }
--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -46,6 +46,9 @@
 	if node.Status().Formed {
 		return true, nil
 	}
+	if node.options.JoinOnly || !slices.Contains(node.options.Initial, node.options.Address) {
+		return false, nil
+	}
 	members, complete := node.survey()
 	if node.Status().Formed {
 		return true, nil
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -131,6 +131,17 @@
 // DeliverReply is empty.
 type DeliverReply struct{}
 
+// JoinArgs asks the leader to take a control host in.
+type JoinArgs struct{ Member raft.Member }
+
+// JoinReply tells whether the host belongs to the group, and where the control
+// hosts are.
+type JoinReply struct {
+	Member  bool
+	Leader  netip.AddrPort
+	Members []netip.AddrPort
+}
+
 // HelloArgs asks a control host whether it belongs to a group.
 type HelloArgs struct{}
 
@@ -191,6 +202,12 @@
 	reply   chan error
 }
 
+type joinRequest struct {
+	member raft.Member
+	reply  chan JoinReply
+}
+
+func (joinRequest) request()     {}
 func (proposeRequest) request()  {}
 func (deliverRequest) request()  {}
 func (fetchRequest) request()    {}
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -24,12 +24,16 @@
 var Error = errs.Class("group")
 
 const (
-	// ElectionTimeout is the least time without a leader before an election.
+	// ElectionTimeout is the least time without a leader before an election,
+	// unless Options.Timing says otherwise.
 	ElectionTimeout = 150 * time.Millisecond
-	// HeartbeatInterval is the time between a leader's heartbeats.
+	// HeartbeatInterval is the time between a leader's heartbeats, unless
+	// Options.Timing says otherwise.
 	HeartbeatInterval = 40 * time.Millisecond
 	tickInterval      = 10 * time.Millisecond
-	inboxSize         = 4096
+	// applyPoll is how often a read looks whether its entry is applied.
+	applyPoll = 5 * time.Millisecond
+	inboxSize = 4096
 	// turnLimit bounds the requests that share one sync.
 	turnLimit = 512
 	// deltaLimit bounds the catalog commands kept for hosts that lag.
@@ -56,6 +60,38 @@
 	SnapshotEvery uint64
 	// OneByOne syncs each proposal alone, as a baseline for group commit.
 	OneByOne bool
+	// Timing replaces the default intervals where it is set.
+	Timing Timing
+	// Voters is the number of voters that the leader keeps by itself: it takes
+	// in hosts that ask to join and drops members that are gone. 0 leaves the
+	// membership to operators.
+	Voters int
+	// JoinOnly keeps the node from forming a group: it waits to be taken in.
+	JoinOnly bool
+}
+
+// Timing is the pace of consensus.
+type Timing struct {
+	// Election is the least time without a leader before an election.
+	Election time.Duration
+	// Heartbeat is the time between a leader's messages to a member.
+	Heartbeat time.Duration
+	// Tick is how often the node looks at its clock.
+	Tick time.Duration
+}
+
+// orDefault fills in what is not set.
+func (timing Timing) orDefault() Timing {
+	if timing.Election == 0 {
+		timing.Election = ElectionTimeout
+	}
+	if timing.Heartbeat == 0 {
+		timing.Heartbeat = HeartbeatInterval
+	}
+	if timing.Tick == 0 {
+		timing.Tick = tickInterval
+	}
+	return timing
 }
 
 // pendingProposal waits for its entry to be applied.
@@ -90,6 +126,7 @@
 	senders    map[raft.MemberID]*sender
 	// contacts are the addresses that members' messages came from.
 	contacts   map[raft.MemberID]netip.AddrPort
+	roster     roster
 	snapshotOn bool
 	changed    chan struct{}
 	server     *server
@@ -112,6 +149,7 @@
 	if options.SnapshotEvery == 0 {
 		options.SnapshotEvery = DefaultSnapshotEvery
 	}
+	options.Timing = options.Timing.orDefault()
 	node := &Node{
 		options:   options,
 		id:        raft.MemberID(options.Name + "#" + restored.Identity),
@@ -161,8 +199,8 @@
 func (node *Node) coreConfig() raft.Config {
 	return raft.Config{
 		ID:                node.id,
-		ElectionTimeout:   ElectionTimeout,
-		HeartbeatInterval: HeartbeatInterval,
+		ElectionTimeout:   node.options.Timing.Election,
+		HeartbeatInterval: node.options.Timing.Heartbeat,
 		Random:            rand.Int64N,
 	}
 }
@@ -203,7 +241,7 @@
 func (node *Node) run() {
 	defer close(node.done)
 	defer node.shutdown()
-	ticker := node.options.Clock.NewTicker(tickInterval)
+	ticker := node.options.Clock.NewTicker(node.options.Timing.Tick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -258,6 +296,7 @@
 	}
 	node.propose(&work)
 	node.step(raft.Tick{}, &work)
+	node.tendRoster(&work)
 	node.settle(&work)
 	node.answerWaiters()
 	node.publish()
@@ -294,6 +333,8 @@
 		node.step(raft.RequestRead{ID: node.nextRead}, work)
 	case changeRequest:
 		node.change(message, work)
+	case joinRequest:
+		message.reply <- node.noteJoiner(message.member)
 	case transferRequest:
 		started := node.transfer(work)
 		// The lease ends before the other member is asked to take over.
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -136,6 +136,30 @@
 	return nil
 }
 
+// Join takes note of a control host that wants to belong to the group.
+func (control *Control) Join(args JoinArgs, reply *JoinReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	answer := make(chan JoinReply, 1)
+	if err := control.node.ask(ctx, joinRequest{member: args.Member, reply: answer}); err != nil {
+		return err
+	}
+	select {
+	case *reply = <-answer:
+		return nil
+	case <-ctx.Done():
+		return Error.New("join: %w", ctx.Err())
+	}
+}
+
+// Register offers a further net/rpc service on the control port.
+func (node *Node) Register(name string, service any) error {
+	if err := node.server.rpc.RegisterName(name, service); err != nil {
+		return Error.New("register %s: %w", name, err)
+	}
+	return nil
+}
+
 // Lagging names the live hosts that have not applied an index.
 func (control *Control) Lagging(args LaggingArgs, reply *LaggingReply) error {
 	*reply = control.node.lagging(args.Index)
@@ -226,7 +250,7 @@
 			return catalog, nil
 		}
 		select {
-		case <-node.options.Clock.After(tickInterval):
+		case <-node.options.Clock.After(applyPoll):
 		case <-ctx.Done():
 			return nil, Error.New("read: %w", ctx.Err())
 		}
--- a/internal/control/group/wire.go
+++ b/internal/control/group/wire.go
@@ -58,6 +58,13 @@
 	return wire.client, nil
 }
 
+// resting tells whether the host did not answer a moment ago.
+func (wire *wire) resting() bool {
+	wire.mutex.Lock()
+	defer wire.mutex.Unlock()
+	return time.Now().Before(wire.retryAt)
+}
+
 func (wire *wire) drop(client *rpc.Client) {
 	wire.mutex.Lock()
 	defer wire.mutex.Unlock()
--- /dev/null
+++ b/internal/control/items/view.go
@@ -0,0 +1,92 @@
+package items
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// NamedRoute is a route with its item's name.
+type NamedRoute struct {
+	Name string
+	Route
+}
+
+// View finds routes and workspaces in a Set quickly. It never changes.
+type View struct {
+	routes     map[string][]NamedRoute
+	keys       map[string]string
+	workspaces map[string]Workspace
+	services   map[string]Service
+	limits     Limits
+	// Configured tells whether any item is in force.
+	Configured bool
+}
+
+// defaultLimits bound callers where no limits are in force.
+var defaultLimits = Limits{HeadBytes: 16 << 10, BodyBytes: 64 << 20}
+
+// View returns the finder of the set's items.
+func (set Set) View() *View {
+	view := &View{
+		routes: map[string][]NamedRoute{}, keys: map[string]string{},
+		workspaces: map[string]Workspace{}, services: map[string]Service{}, limits: defaultLimits,
+	}
+	for _, item := range set.InForce() {
+		view.Configured = true
+		switch {
+		case item.Route != nil:
+			host := strings.ToLower(item.Route.Host)
+			view.routes[host] = append(view.routes[host], NamedRoute{Name: item.Name, Route: *item.Route})
+		case item.Workspace != nil:
+			view.workspaces[item.Name] = *item.Workspace
+			for _, key := range item.Workspace.Keys {
+				view.keys[key] = item.Name
+			}
+		case item.Service != nil:
+			view.services[item.Name] = *item.Service
+		case item.Limits != nil:
+			view.limits = *item.Limits
+		}
+	}
+	for _, routes := range view.routes {
+		slices.SortStableFunc(routes, func(left, right NamedRoute) int {
+			return cmp.Compare(len(right.Prefix), len(left.Prefix))
+		})
+	}
+	return view
+}
+
+// Route returns the route with the longest prefix that begins the path.
+func (view *View) Route(host, path string) (NamedRoute, bool) {
+	for _, route := range view.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return NamedRoute{}, false
+}
+
+// KeyOwner returns the workspace that a caller key belongs to.
+func (view *View) KeyOwner(key string) (name string, workspace Workspace, known bool) {
+	name, known = view.keys[key]
+	return name, view.workspaces[name], known
+}
+
+// Workspaces returns all workspaces by name. Callers must not change the map.
+func (view *View) Workspaces() map[string]Workspace { return view.workspaces }
+
+// HasWorkspaces tells whether requests must carry a caller key.
+func (view *View) HasWorkspaces() bool { return len(view.workspaces) > 0 }
+
+// Service returns a service.
+func (view *View) Service(name string) (Service, bool) {
+	service, ok := view.services[name]
+	return service, ok
+}
+
+// Limits returns what callers may send.
+func (view *View) Limits() Limits { return view.limits }
+
+// Services returns all services by name. Callers must not change the map.
+func (view *View) Services() map[string]Service { return view.services }
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -53,6 +53,15 @@
 	return times[needed-1]
 }
 
+// Contact returns when the latest message was sent to a member that it has
+// answered, as the leader knows it.
+func (core *Core) Contact(id MemberID) time.Time {
+	if peer, ok := core.peers[id]; ok {
+		return peer.ackedSentAt
+	}
+	return time.Time{}
+}
+
 func (core *Core) propose(event Propose, now time.Time) {
 	if core.role != RoleLeader || core.transfer != "" {
 		core.output.Err = Error.New("member %s is not the leader", core.config.ID)
--- a/internal/control/state/catalog.go
+++ b/internal/control/state/catalog.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/spec"
 )
 
@@ -26,7 +28,20 @@
 	Tables     map[string]Table
 	Quarantine map[string]Suspect
 
+	// The fields below serve fleets whose entry hosts send straight to upstreams.
+
+	Items items.Set
+	// Evacuated holds the data centres whose upstreams get no work, and the log
+	// index since when.
+	Evacuated map[string]uint64
+	Instances map[string]Instance
+	Spans     map[string]spans.Table
+	Entries   map[string]Entry
+	// ControlHosts are the control hosts by their peer addresses.
+	ControlHosts map[string]ControlHost
+
 	specs specs
+	view  *items.View
 }
 
 // Service returns a service's specification.
@@ -124,6 +139,9 @@
 	next := *catalog
 	next.Index = index
 	result := Result{Index: index, Outcome: OutcomeDone}
+	if direct, ok := next.applyDirect(index, command); ok {
+		return &next, direct
+	}
 	switch command := command.(type) {
 	case ApplyRecords:
 		result = next.applyRecords(index, command)
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -229,6 +229,15 @@
 	kindBeginRequest:   decodeAs[BeginRequest],
 	kindFinishRequest:  decodeAs[FinishRequest],
 	kindDropRequest:    decodeAs[DropRequest],
+
+	kindPutItems:           decodeAs[PutItems],
+	kindEvacuateDataCentre: decodeAs[EvacuateDataCentre],
+	kindSeeInstance:        decodeAs[SeeInstance],
+	kindForgetInstances:    decodeAs[ForgetInstances],
+	kindChangeSpans:        decodeAs[ChangeSpans],
+	kindSeeEntry:           decodeAs[SeeEntry],
+	kindForgetEntries:      decodeAs[ForgetEntries],
+	kindSeeControlHost:     decodeAs[SeeControlHost],
 }
 
 func decodeBody(kind commandKind, body codec.Raw) (Command, error) {
--- /dev/null
+++ b/internal/control/state/direct.go
@@ -0,0 +1,225 @@
+package state
+
+import (
+	"maps"
+	"net/netip"
+
+	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
+)
+
+// Instance is one life of an upstream that announces itself by heartbeats.
+type Instance struct {
+	ID string
+	// Born is the start of this life in Unix milliseconds.
+	Born       int64
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Version    string
+	Slots      int
+	Draining   bool
+	// Cold upstreams bear few requests.
+	Cold bool
+	// Silent upstreams have sent no heartbeat for a while.
+	Silent bool
+}
+
+// Owner returns the name under which the instance owns keys.
+func (instance Instance) Owner() spans.Owner {
+	return spans.Owner{ID: instance.ID, Born: instance.Born}
+}
+
+// Entry is an entry host that polls the control leader.
+type Entry struct {
+	Name       string
+	DataCentre string
+}
+
+// ControlHost is a control host and its place.
+type ControlHost struct {
+	Address    netip.AddrPort
+	DataCentre string
+}
+
+// SeeControlHost enters a control host.
+type SeeControlHost struct{ ControlHost ControlHost }
+
+// PutItems puts versions of configuration items in force, all or none.
+type PutItems struct{ Items []items.Item }
+
+// EvacuateDataCentre says whether a data centre's upstreams get no work.
+type EvacuateDataCentre struct {
+	Name      string
+	Evacuated bool
+}
+
+// SeeInstance enters or changes an upstream that announced itself.
+type SeeInstance struct{ Instance Instance }
+
+// ForgetInstances drops upstreams that are gone.
+type ForgetInstances struct{ Owners []spans.Owner }
+
+// ChangeSpans changes the ownership of keys. It is stale unless the table still
+// has the version that the change is based on.
+type ChangeSpans struct {
+	Service string
+	Base    uint64
+	Changes []spans.Change
+}
+
+// SeeEntry enters an entry host.
+type SeeEntry struct{ Entry Entry }
+
+// ForgetEntries drops entry hosts that are gone.
+type ForgetEntries struct{ Names []string }
+
+const (
+	kindPutItems           commandKind = "putItems"
+	kindEvacuateDataCentre commandKind = "evacuateDataCentre"
+	kindSeeInstance        commandKind = "seeInstance"
+	kindForgetInstances    commandKind = "forgetInstances"
+	kindChangeSpans        commandKind = "changeSpans"
+	kindSeeEntry           commandKind = "seeEntry"
+	kindForgetEntries      commandKind = "forgetEntries"
+	kindSeeControlHost     commandKind = "seeControlHost"
+)
+
+func (PutItems) kind() commandKind           { return kindPutItems }
+func (EvacuateDataCentre) kind() commandKind { return kindEvacuateDataCentre }
+func (SeeInstance) kind() commandKind        { return kindSeeInstance }
+func (ForgetInstances) kind() commandKind    { return kindForgetInstances }
+func (ChangeSpans) kind() commandKind        { return kindChangeSpans }
+func (SeeEntry) kind() commandKind           { return kindSeeEntry }
+func (ForgetEntries) kind() commandKind      { return kindForgetEntries }
+func (SeeControlHost) kind() commandKind     { return kindSeeControlHost }
+
+// applyDirect applies the commands of fleets whose entry hosts send straight to
+// upstreams, and tells whether the command was one of them.
+func (catalog *Catalog) applyDirect(index uint64, command Command) (Result, bool) {
+	done := Result{Index: index, Outcome: OutcomeDone}
+	switch command := command.(type) {
+	case PutItems:
+		return catalog.putItems(index, command), true
+	case EvacuateDataCentre:
+		if command.Evacuated {
+			if _, already := catalog.Evacuated[command.Name]; !already {
+				catalog.Evacuated = with(catalog.Evacuated, command.Name, index)
+			}
+		} else {
+			catalog.endEvacuation(command.Name)
+		}
+	case SeeInstance:
+		catalog.seeInstance(command.Instance)
+	case ForgetInstances:
+		for _, owner := range command.Owners {
+			if catalog.Instances[owner.ID].Born == owner.Born {
+				catalog.Instances = without(catalog.Instances, owner.ID)
+			}
+		}
+	case ChangeSpans:
+		return catalog.changeSpans(index, command), true
+	case SeeEntry:
+		catalog.Entries = with(catalog.Entries, command.Entry.Name, command.Entry)
+	case ForgetEntries:
+		for _, name := range command.Names {
+			catalog.Entries = without(catalog.Entries, name)
+		}
+	case SeeControlHost:
+		catalog.ControlHosts = with(catalog.ControlHosts, command.ControlHost.Address.String(), command.ControlHost)
+	default:
+		return Result{}, false
+	}
+	return done, true
+}
+
+// endEvacuation lets a data centre's upstreams get work again. They may have
+// turned cold without work, so they count as cold until they say otherwise.
+func (catalog *Catalog) endEvacuation(name string) {
+	if _, evacuated := catalog.Evacuated[name]; !evacuated {
+		return
+	}
+	catalog.Evacuated = without(catalog.Evacuated, name)
+	catalog.Instances = maps.Clone(catalog.Instances)
+	for id, instance := range catalog.Instances {
+		if instance.DataCentre == name {
+			instance.Cold = true
+			catalog.Instances[id] = instance
+		}
+	}
+}
+
+func (catalog *Catalog) putItems(index uint64, command PutItems) Result {
+	set, verdict, err := catalog.Items.Merge(command.Items)
+	result := Result{Index: index}
+	switch verdict {
+	case items.VerdictDone:
+		result.Outcome = OutcomeDone
+		catalog.Items = set
+		catalog.view = set.View()
+	case items.VerdictResent:
+		result.Outcome = OutcomeResent
+	case items.VerdictConflict:
+		result.Outcome = OutcomeConflict
+	case items.VerdictInvalid:
+		result.Outcome = OutcomeInvalid
+	}
+	if err != nil {
+		result.Detail = err.Error()
+	}
+	return result
+}
+
+// seeInstance enters an instance. An older life of the same upstream, or an
+// upstream that had the address before, is gone.
+func (catalog *Catalog) seeInstance(instance Instance) {
+	if present, ok := catalog.Instances[instance.ID]; ok && present.Born > instance.Born {
+		return
+	}
+	next := with(catalog.Instances, instance.ID, instance)
+	for id, other := range next {
+		if id != instance.ID && other.Address == instance.Address && other.Born < instance.Born {
+			delete(next, id)
+		}
+	}
+	catalog.Instances = next
+}
+
+func (catalog *Catalog) changeSpans(index uint64, command ChangeSpans) Result {
+	table := catalog.Spans[command.Service]
+	if table.Version != command.Base {
+		return Result{Index: index, Outcome: OutcomeStale}
+	}
+	next, err := table.Apply(index, command.Changes)
+	if err != nil {
+		return Result{Index: index, Outcome: OutcomeInvalid, Detail: err.Error()}
+	}
+	catalog.Spans = with(catalog.Spans, command.Service, next)
+	return Result{Index: index, Outcome: OutcomeDone}
+}
+
+// View returns the finder of the configuration items in force.
+func (catalog *Catalog) View() *items.View {
+	if catalog.view == nil {
+		return items.Set{}.View()
+	}
+	return catalog.view
+}
+
+// InstancesOf returns the instances of a service.
+func (catalog *Catalog) InstancesOf(service string) []Instance {
+	var instances []Instance
+	for _, instance := range catalog.Instances {
+		if instance.Service == service {
+			instances = append(instances, instance)
+		}
+	}
+	return instances
+}
+
+// Wanted tells whether an instance may get new work: it stays and its data
+// centre is not evacuated.
+func (catalog *Catalog) Wanted(instance Instance) bool {
+	_, evacuated := catalog.Evacuated[instance.DataCentre]
+	return !instance.Draining && !evacuated
+}
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -77,5 +77,8 @@
 		return nil, Error.New("decode catalog: %w", err)
 	}
 	catalog.parseRecords()
+	if len(catalog.Items.Items) > 0 {
+		catalog.view = catalog.Items.View()
+	}
 	return catalog, nil
 }
--- /dev/null
+++ b/internal/dispatch/admit/upstream.go
@@ -0,0 +1,147 @@
+package admit
+
+import (
+	"net/netip"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/control/spans"
+)
+
+const (
+	// firstWindow and maxWindow are requests that a host may have outstanding at
+	// an upstream, per slot of the upstream.
+	firstWindow = 2.0
+	maxWindow   = 3.0
+	// windowShrink is what is left of the window after an upstream shed a request.
+	windowShrink = 0.7
+	// windowGrow is added to the window by an answer.
+	windowGrow = 0.15
+	// firstTypical is assumed of an upstream that has not answered yet.
+	firstTypical = 150 * time.Millisecond
+	// typicalTenths is the weight of the latest answer in an average, in tenths.
+	typicalTenths = 2
+	// firstPause and maxPause bound how long an upstream is left alone after
+	// connections to it failed; the pause doubles with each failure.
+	firstPause = 200 * time.Millisecond
+	maxPause   = 3 * time.Second
+	// shedPause is how long an upstream gets nothing after it shed a request.
+	shedPause = 60 * time.Millisecond
+	// loadFresh is how long a reported load counts.
+	loadFresh = 500 * time.Millisecond
+	// usualPace is the reported pace of a machine without neighbours, in percent.
+	usualPace = 100
+	// remoteCost is what crossing between data centres counts against an upstream.
+	remoteCost = 60 * time.Millisecond
+)
+
+// Target is an upstream that requests may be sent to.
+type Target struct {
+	Owner      spans.Owner
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Slots      int
+	Cold       bool
+	Silent     bool
+	// Leaving upstreams get keyed requests only, until they have let go of the
+	// keys or LeaveBy has passed.
+	Leaving bool
+	LeaveBy time.Time
+	// ColdPerSecond is this host's part of what the upstream bears while cold.
+	ColdPerSecond float64
+}
+
+// Load is what an upstream says of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is how long work takes at the moment, in percent of the usual.
+	Pace int
+}
+
+// upstream is what this host knows of a target.
+type upstream struct {
+	target  Target
+	running int
+	window  float64
+	typical time.Duration
+	load    Load
+	loadAt  time.Time
+	// pausedUntil is when the upstream may be tried again after a failure.
+	pausedUntil time.Time
+	pause       time.Duration
+	answeredAt  time.Time
+	coldTokens  float64
+	coldAt      time.Time
+}
+
+func newUpstream(target Target, now time.Time) *upstream {
+	return &upstream{
+		target: target, window: firstWindow * float64(max(1, target.Slots)), typical: firstTypical, coldAt: now,
+	}
+}
+
+// retarget takes over what the catalog says now.
+func (upstream *upstream) retarget(target Target, now time.Time) {
+	if target.Cold && !upstream.target.Cold {
+		upstream.coldTokens, upstream.coldAt = 0, now
+	}
+	upstream.target = target
+}
+
+// open tells whether the upstream may get a request now, and takes a token of
+// a cold one.
+func (upstream *upstream) open(now time.Time) bool {
+	if now.Before(upstream.pausedUntil) || float64(upstream.running) >= max(1, upstream.window) {
+		return false
+	}
+	if !upstream.target.Cold {
+		return true
+	}
+	upstream.coldTokens = min(1, upstream.coldTokens+upstream.target.ColdPerSecond*now.Sub(upstream.coldAt).Seconds())
+	upstream.coldAt = now
+	return upstream.coldTokens >= 1
+}
+
+func (upstream *upstream) begin() {
+	upstream.running++
+	if upstream.target.Cold {
+		upstream.coldTokens--
+	}
+}
+
+// expected estimates how long the upstream takes for one more request.
+func (upstream *upstream) expected(now time.Time) time.Duration {
+	slots := max(1, upstream.target.Slots)
+	busy := upstream.running
+	pace := usualPace
+	if now.Sub(upstream.loadAt) < loadFresh {
+		busy = max(busy, upstream.load.Running+upstream.load.Waiting)
+		pace = max(usualPace/2, upstream.load.Pace)
+	}
+	queued := max(0, busy-slots+1)
+	work := upstream.typical * time.Duration(pace) / usualPace
+	return work + work*time.Duration(queued)/time.Duration(slots)
+}
+
+// answered notes an answer.
+func (upstream *upstream) answered(now time.Time, took time.Duration) {
+	upstream.answeredAt = now
+	upstream.pause, upstream.pausedUntil = 0, time.Time{}
+	upstream.typical += (took - upstream.typical) * typicalTenths / 10
+	upstream.window = min(upstream.window+windowGrow, maxWindow*float64(max(1, upstream.target.Slots)))
+}
+
+// shed notes that the upstream had no room.
+func (upstream *upstream) shed(now time.Time) {
+	upstream.answeredAt = now
+	upstream.window = max(1, upstream.window*windowShrink)
+	upstream.pausedUntil = now.Add(shedPause)
+}
+
+// failed notes that the upstream could not be reached or did not answer.
+func (upstream *upstream) failed(now time.Time) {
+	upstream.pause = min(max(firstPause, 2*upstream.pause), maxPause)
+	upstream.pausedUntil = now.Add(upstream.pause)
+}
--- /dev/null
+++ b/internal/dispatch/pool/header.go
@@ -0,0 +1,46 @@
+package pool
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// hopByHop are the header fields that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// EndToEnd returns a copy of the header without what concerns one connection.
+func EndToEnd(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, line := range header.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		kept.Del(name)
+	}
+	return kept
+}
+
+// keepAlive returns the idle time that a Keep-Alive field states.
+func keepAlive(field string) (time.Duration, bool) {
+	for part := range strings.SplitSeq(field, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || seconds < 0 {
+			return 0, false
+		}
+		return time.Duration(seconds) * time.Second, true
+	}
+	return 0, false
+}
+
+func itoa(number int) string { return strconv.Itoa(number) }
--- /dev/null
+++ b/internal/fleet/direct/control.go
@@ -0,0 +1,286 @@
+// Package direct puts together the processes of a fleet whose entry hosts send
+// straight to upstreams: control hosts and entry hosts.
+package direct
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/base/conf"
+	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/group"
+	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/control/steer"
+	"damaskcrank.example/damaskcrank/internal/peer/trust"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("direct")
+
+const (
+	// logPrefix starts each line that this package logs.
+	logPrefix = "host: "
+	// electionTimeout and heartbeatInterval pace consensus. Slower than on a
+	// fleet of its own network, since bytes between data centres are dear.
+	electionTimeout   = 500 * time.Millisecond
+	heartbeatInterval = 120 * time.Millisecond
+	tickInterval      = 30 * time.Millisecond
+	// snapshotEvery is the number of log entries between two snapshots. Disks are
+	// small and catalogs are, too.
+	snapshotEvery = 4000
+	// leaveTime bounds how long a control host takes to hand over leadership.
+	leaveTime = 500 * time.Millisecond
+	// settingsPoll is how often the settings file is looked at.
+	settingsPoll = time.Second
+)
+
+// Options set up a process.
+type Options struct {
+	Settings conf.Direct
+	// Reload reads the settings again.
+	Reload func() (conf.Direct, error)
+	Clock  clockwork.Clock
+	Log    log.Interface
+	Stats  *stats.Set
+}
+
+// Control is a running control host.
+type Control struct {
+	options Options
+	node    *group.Node
+	client  *group.Client
+	steer   *steer.Steer
+	server  *http.Server
+	metrics *http.Server
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// StartControl starts a control host. The handler serves operators and
+// upstreams; it is made once the host's parts stand.
+func StartControl(options Options, handler func(*Control) http.Handler) (*Control, error) {
+	settings := options.Settings
+	secret := trust.Secret(settings.Peer.Secret)
+	seeds := settings.ControlHosts()
+	node, err := group.Open(group.Options{
+		Name: settings.Host.Name, Address: settings.Peer.Address, Folder: settings.Host.DataFolder,
+		Secret: secret, Initial: seeds, Clock: options.Clock, Log: options.Log, SnapshotEvery: snapshotEvery,
+		Timing:   group.Timing{Election: electionTimeout, Heartbeat: heartbeatInterval, Tick: tickInterval},
+		Voters:   2*settings.Peer.Losses + 1,
+		JoinOnly: !settings.Host.FirstStart,
+	})
+	if err != nil {
+		return nil, Error.New("start control: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	control := &Control{
+		options: options, node: node, client: group.NewClient(seeds, secret),
+		steer: steer.New(node, options.Clock, options.Log), cancel: cancel,
+	}
+	if err := node.Register("Steer", steer.NewRemote(control.steer, node)); err != nil {
+		control.Kill()
+		return nil, Error.New("start control: %w", err)
+	}
+	control.steer.Start()
+	if err := control.listen(handler(control)); err != nil {
+		control.Kill()
+		return nil, err
+	}
+	control.background(func() { control.form(ctx) })
+	control.background(func() { node.Join(ctx, control.client) })
+	control.background(func() { control.announce(ctx) })
+	control.background(func() { follow(ctx, options, control.client) })
+	options.Log.WithField("control", settings.Listen.Control).WithField("peer", settings.Peer.Address.String()).
+		WithField("firstStart", settings.Host.FirstStart).WithField("member", string(node.ID())).
+		Info(logPrefix + "control host started")
+	return control, nil
+}
+
+func (control *Control) background(task func()) {
+	control.tasks.Add(1)
+	go func() {
+		defer control.tasks.Done()
+		task()
+	}()
+}
+
+func (control *Control) form(ctx context.Context) {
+	if err := control.node.Form(ctx); err != nil && ctx.Err() == nil {
+		control.options.Log.WithError(err).Error(logPrefix + "the control group was not formed")
+	}
+}
+
+func (control *Control) listen(handler http.Handler) error {
+	var err error
+	control.server, err = serveHTTP(control.options.Settings.Listen.Control, handler, control.options.Log, controlIdle)
+	if err != nil {
+		return err
+	}
+	control.metrics, err = serveMetrics(control.options)
+	return err
+}
+
+// announce enters the host's data centre, so that entry hosts find a control
+// host near them.
+func (control *Control) announce(ctx context.Context) {
+	settings := control.options.Settings
+	near := state.ControlHost{Address: settings.Peer.Address, DataCentre: settings.Host.DataCentre}
+	for ctx.Err() == nil {
+		if control.node.Catalog().ControlHosts[near.Address.String()] == near {
+			return
+		}
+		if control.node.Status().Leader != "" {
+			if _, err := control.propose(ctx, state.SeeControlHost{ControlHost: near}); err != nil {
+				control.options.Log.WithError(err).Debug(logPrefix + "the host is not entered yet")
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-control.options.Clock.After(electionTimeout):
+		}
+	}
+}
+
+// propose commits a command, through the leader where this host does not lead.
+func (control *Control) propose(ctx context.Context, command state.Command) (state.Result, error) {
+	if control.node.Leads() {
+		result, err := control.node.Propose(ctx, command)
+		if !errors.Is(err, group.ErrNotLeader) {
+			return result, err
+		}
+	}
+	result, err := control.client.Propose(ctx, command)
+	if err != nil {
+		return state.Result{}, Error.New("propose: %w", err)
+	}
+	return result, nil
+}
+
+// Beat answers an upstream's heartbeat, and tells where the leader is.
+func (control *Control) Beat(ctx context.Context, beat steer.Beat) (steer.Answer, netip.Addr, error) {
+	answer, err := control.steer.Beat(ctx, beat)
+	if err == nil {
+		return answer, control.options.Settings.Peer.Address.Addr(), nil
+	}
+	reply := steer.BeatReply{}
+	if err := control.client.CallLeader(ctx, "Steer.Beat", beat, &reply); err != nil {
+		return steer.Answer{}, netip.Addr{}, Error.New("pass heartbeat on: %w", err)
+	}
+	return reply.Answer, control.leader(), nil
+}
+
+// leader returns the leader's IP address, or the zero address.
+func (control *Control) leader() netip.Addr {
+	status := control.node.Status()
+	for _, member := range status.Members {
+		if member.ID != status.Leader {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			return address.Addr()
+		}
+	}
+	return netip.Addr{}
+}
+
+// Leave takes note of an upstream that leaves.
+func (control *Control) Leave(ctx context.Context, id string) error {
+	if control.steer.Leave(ctx, id) == nil {
+		return nil
+	}
+	reply := steer.BeatReply{}
+	if err := control.client.CallLeader(ctx, "Steer.Leave", id, &reply); err != nil {
+		return Error.New("pass leaving on: %w", err)
+	}
+	return nil
+}
+
+// Put puts configuration items in force.
+func (control *Control) Put(ctx context.Context, changes []items.Item) (state.Result, error) {
+	result, err := control.propose(ctx, state.PutItems{Items: changes})
+	if err != nil {
+		return result, err
+	}
+	control.options.Log.WithField("items", len(changes)).WithField("outcome", string(result.Outcome)).
+		WithField("detail", result.Detail).WithField("version", result.Index).Info(logPrefix + "configuration change")
+	return result, nil
+}
+
+// Evacuate says whether a data centre's upstreams get no work.
+func (control *Control) Evacuate(ctx context.Context, dataCentre string, evacuated bool) error {
+	result, err := control.propose(ctx, state.EvacuateDataCentre{Name: dataCentre, Evacuated: evacuated})
+	if err != nil {
+		return err
+	}
+	control.options.Log.WithField("dataCentre", dataCentre).WithField("evacuated", evacuated).
+		WithField("version", result.Index).Info(logPrefix + "data centre")
+	return nil
+}
+
+// Items returns the configuration items in force, none older than what was
+// acknowledged before the call.
+func (control *Control) Items(ctx context.Context) ([]items.Item, error) {
+	catalog, err := control.node.Read(ctx)
+	if err == nil {
+		return catalog.Items.InForce(), nil
+	}
+	reply := steer.IndexReply{}
+	if err := control.client.CallLeader(ctx, "Steer.Index", steer.IndexArgs{}, &reply); err != nil {
+		return nil, Error.New("read items: %w", err)
+	}
+	for control.node.Catalog().Index < reply.Index {
+		select {
+		case <-ctx.Done():
+			return nil, Error.New("read items: %w", ctx.Err())
+		case <-control.options.Clock.After(tickInterval):
+		}
+	}
+	return control.node.Catalog().Items.InForce(), nil
+}
+
+// Failed is closed when the control node ended by itself.
+func (control *Control) Failed() <-chan struct{} { return control.node.Done() }
+
+// Stop hands leadership over and ends the host.
+func (control *Control) Stop(_ context.Context) error {
+	control.options.Log.Info(logPrefix + "stopping")
+	if control.node.HandOver() {
+		select {
+		case <-control.options.Clock.After(leaveTime):
+		case <-control.node.Done():
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	err := control.server.Shutdown(ctx)
+	control.Kill()
+	if err != nil {
+		return Error.New("stop control: %w", err)
+	}
+	return nil
+}
+
+// Kill ends the host at once.
+func (control *Control) Kill() {
+	control.cancel()
+	for _, server := range []*http.Server{control.server, control.metrics} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+	if err := control.node.Close(); err != nil {
+		control.options.Log.WithError(err).Warn(logPrefix + "control ended with an error")
+	}
+	control.client.Close()
+	control.steer.Close()
+	control.tasks.Wait()
+}
--- a/internal/oper/cmds/cmds.go
+++ b/internal/oper/cmds/cmds.go
@@ -74,14 +74,26 @@
 	Err io.Writer
 }
 
+// Extra is a further command with subcommands.
+type Extra struct {
+	Name    string
+	Help    string
+	Command any
+}
+
 // Run parses the command line, runs the command and returns the exit code.
-func Run(args []string) int {
+func Run(args []string, extras ...Extra) int {
 	var line CommandLine
 	streams := &Streams{Out: os.Stdout, Err: os.Stderr}
 	exited := -1
-	parser, err := kong.New(&line, kong.Name("damaskcrank"),
-		kong.Description("A router for servers that own keys exclusively."),
-		kong.UsageOnError(), kong.Exit(func(code int) { exited = code }), kong.Bind(streams))
+	options := []kong.Option{
+		kong.Name("damaskcrank"), kong.Description("A router for servers that own keys exclusively."),
+		kong.UsageOnError(), kong.Exit(func(code int) { exited = code }), kong.Bind(streams),
+	}
+	for _, extra := range extras {
+		options = append(options, kong.DynamicCommand(extra.Name, extra.Help, "", extra.Command))
+	}
+	parser, err := kong.New(&line, options...)
 	if err != nil {
 		_, _ = fmt.Fprintln(streams.Err, err)
 		return ExitFailed
