Lend tokens of workspaces' rates from the control leader

Change: one bucket a workspace at the leader lends tokens, ahead with each report and on demand; standing parts stay for hosts out of reach of the leader. Replies are fresh at each try. Keys of a new service are first divided once its upstreams have announced themselves; moves are worth it by a part of the target.

Ruled out: larger standing bursts; over 79 hosts they add up beyond the rate.

--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -151,22 +151,28 @@
 	return client.leader, client.wires[client.leader], len(client.wires)
 }
 
+// LeaderReply is a reply that tells whether it came from the leader, and where
+// the leader is if not.
+type LeaderReply[T any] interface {
+	*T
+	FromLeader() (leads bool, hint string)
+}
+
 // CallLeader makes one call of another service of the leader. The reply tells
-// whether its host leads and which one it believes does.
-func (client *Client) CallLeader(ctx context.Context, method string, args any, reply LeaderReply) error {
-	return client.onLeader(ctx, func(wire *wire) (bool, string, error) {
-		if err := wire.call(method, args, reply, callTimeout); err != nil {
+// whether its host leads and which one it believes does. Each try has a reply of
+// its own, since gob leaves fields alone that are zero at the sender.
+func CallLeader[T any, P LeaderReply[T]](ctx context.Context, client *Client, method string, args any) (T, error) {
+	var reply T
+	err := client.onLeader(ctx, func(wire *wire) (bool, string, error) {
+		var fresh T
+		if err := wire.call(method, args, P(&fresh), callTimeout); err != nil {
 			return false, "", err
 		}
-		leads, hint := reply.FromLeader()
+		reply = fresh
+		leads, hint := P(&fresh).FromLeader()
 		return leads, hint, nil
 	})
-}
-
-// LeaderReply is a reply that tells whether it came from the leader, and where
-// the leader is if not.
-type LeaderReply interface {
-	FromLeader() (leads bool, hint string)
+	return reply, err
 }
 
 // moveOn tries the hinted leader next, or else the next host.
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -20,6 +20,9 @@
 		return
 	}
 	placement := steer.placement(catalog, service)
+	if steer.gathering(catalog, service) {
+		return
+	}
 	changes := placement.settle()
 	if len(changes) == 0 && steer.balanceDue() {
 		changes = placement.balance()
@@ -28,6 +31,22 @@
 	steer.noteMoving(service)
 }
 
+// gathering tells whether a service's upstreams are still announcing themselves
+// for the first time, so that its keys are better divided a moment later.
+func (steer *Steer) gathering(catalog *state.Catalog, service string) bool {
+	if len(catalog.Spans[service].Spans) > 0 {
+		return false
+	}
+	steer.mutex.Lock()
+	defer steer.mutex.Unlock()
+	now := steer.clock.Now()
+	first, ok := steer.gatherSince[service]
+	if !ok && len(catalog.InstancesOf(service)) > 0 {
+		steer.gatherSince[service] = now
+	}
+	return !ok || now.Sub(first) < gatherTime
+}
+
 // balanceDue tells whether keys may move for the sake of load.
 func (steer *Steer) balanceDue() bool {
 	steer.mutex.Lock()
@@ -244,9 +263,9 @@
 	maxPieces = 8
 	// balanceRatio is the load over the target above which keys move.
 	balanceRatio = 1.35
-	// balanceLeast is the load in requests per second that a move must take off
-	// an upstream to be worth it.
-	balanceLeast = 0.8
+	// balanceLeast is the part of the target that a move must take off an upstream
+	// to be worth it.
+	balanceLeast = 0.15
 	// movesAtOnce bounds the spans that move at a time for the sake of load.
 	movesAtOnce = 4
 )
@@ -282,7 +301,8 @@
 	})
 	taker, low := placement.least(most)
 	excess := min(placement.owned[most]-target, target-low)
-	if placement.owned[most] < target*balanceRatio || excess < balanceLeast {
+	least := target * balanceLeast
+	if placement.owned[most] < target*balanceRatio || excess < least {
 		return spans.Change{}, false
 	}
 	for _, span := range placement.table.OwnedBy(most) {
@@ -293,12 +313,12 @@
 			continue
 		}
 		load := placement.loads.of(span.From, span.To)
-		if load < balanceLeast {
+		if load < least {
 			continue
 		}
 		to := placement.loads.cut(span.From, span.To, min(excess, load))
 		piece := placement.loads.of(span.From, to)
-		if piece < balanceLeast/2 || piece > 2*excess {
+		if piece < least/2 || piece > 2*excess {
 			continue
 		}
 		placement.owned[most] -= piece
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -52,9 +52,9 @@
 	for name := range catalog.Entries {
 		hosts = append(hosts, name)
 	}
-	rates := map[string]float64{}
+	rates := map[string]share.Rate{}
 	for name, workspace := range catalog.View().Workspaces() {
-		rates[name] = workspace.PerSecond
+		rates[name] = share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
 	}
 	steer.mutex.Lock()
 	defer steer.mutex.Unlock()
@@ -77,6 +77,37 @@
 	return reply, nil
 }
 
+// LoanArgs asks for tokens of a workspace's rate.
+type LoanArgs struct {
+	Host      string
+	Workspace string
+	Wanted    float64
+}
+
+// LoanReply is the answer.
+type LoanReply struct {
+	NotLeader bool
+	Leader    string
+	Loan      share.Loan
+}
+
+// FromLeader tells whether the reply is the leader's, and where it is if not.
+func (loanreply *LoanReply) FromLeader() (leads bool, hint string) {
+	return !loanreply.NotLeader, loanreply.Leader
+}
+
+// Lend lends tokens of a workspace's rate to an entry host.
+func (steer *Steer) Lend(ctx context.Context, args LoanArgs) LoanReply {
+	if !steer.lead(ctx) {
+		return LoanReply{NotLeader: true, Leader: steer.leaderAddress()}
+	}
+	workspace := steer.node.Catalog().View().Workspaces()[args.Workspace]
+	rate := share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
+	steer.mutex.Lock()
+	defer steer.mutex.Unlock()
+	return LoanReply{Loan: steer.book.Lend(steer.clock.Now(), args.Host, args.Workspace, args.Wanted, rate)}
+}
+
 func (steer *Steer) leaderAddress() string {
 	status := steer.node.Status()
 	for _, member := range status.Members {
@@ -131,6 +162,14 @@
 	return err
 }
 
+// Lend lends tokens to an entry host.
+func (remote *Remote) Lend(args LoanArgs, reply *LoanReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	*reply = remote.steer.Lend(ctx, args)
+	return nil
+}
+
 // IndexArgs asks for the index up to which everything acknowledged is.
 type IndexArgs struct{}
 
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -39,6 +39,9 @@
 	// staleGrant is the time after which an upstream takes no late answer to a
 	// heartbeat: it waits a second for one.
 	staleGrant = 1200 * time.Millisecond
+	// gatherTime is how long a service's first upstreams may take to announce
+	// themselves: somewhat more than the time between two heartbeats.
+	gatherTime = 1200 * time.Millisecond
 	// tickInterval is how often placement and silence are looked at.
 	tickInterval = 100 * time.Millisecond
 	// balanceInterval is how often keys may move for the sake of load.
@@ -96,6 +99,8 @@
 	pending map[string]state.ChangeSpans
 	// movingSince is when a span was first seen moving.
 	movingSince map[spanMark]time.Time
+	// gatherSince is when a service without owners was first seen.
+	gatherSince map[string]time.Time
 	loads       map[string]*loadMap
 	entries     map[string]time.Time
 	book        share.Book
@@ -141,6 +146,7 @@
 	steer.left = map[spans.Owner]time.Time{}
 	steer.pending = map[string]state.ChangeSpans{}
 	steer.movingSince = map[spanMark]time.Time{}
+	steer.gatherSince = map[string]time.Time{}
 	steer.loads = map[string]*loadMap{}
 	steer.entries = map[string]time.Time{}
 	steer.book.Reset(now, term)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -211,16 +211,11 @@
 	}
 	visit.workspace = name
 	visit.rank += workspace.Priority * workspaceRank
-	wait, ok := relay.Purse.Take(visit.arrived, name, workspace.PerSecond, workspace.Burst)
+	rate := share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
+	wait, ok := relay.Purse.Take(visit.request.Context(), visit.arrived, name, rate)
 	if !ok {
 		return &refusal{http.StatusTooManyRequests, "overRate", wait}
 	}
-	if wait > 0 {
-		select {
-		case <-relay.Clock.After(wait):
-		case <-visit.request.Context().Done():
-		}
-	}
 	return nil
 }
 
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -171,8 +171,8 @@
 	if err == nil {
 		return answer, control.options.Settings.Peer.Address.Addr(), nil
 	}
-	reply := steer.BeatReply{}
-	if err := control.client.CallLeader(ctx, "Steer.Beat", beat, &reply); err != nil {
+	reply, err := group.CallLeader[steer.BeatReply](ctx, control.client, "Steer.Beat", beat)
+	if err != nil {
 		return steer.Answer{}, netip.Addr{}, Error.New("pass heartbeat on: %w", err)
 	}
 	return reply.Answer, control.leader(), nil
@@ -197,8 +197,7 @@
 	if control.steer.Leave(ctx, id) == nil {
 		return nil
 	}
-	reply := steer.BeatReply{}
-	if err := control.client.CallLeader(ctx, "Steer.Leave", id, &reply); err != nil {
+	if _, err := group.CallLeader[steer.BeatReply](ctx, control.client, "Steer.Leave", id); err != nil {
 		return Error.New("pass leaving on: %w", err)
 	}
 	return nil
@@ -233,8 +232,8 @@
 	if err == nil {
 		return catalog.Items.InForce(), nil
 	}
-	reply := steer.IndexReply{}
-	if err := control.client.CallLeader(ctx, "Steer.Index", steer.IndexArgs{}, &reply); err != nil {
+	reply, err := group.CallLeader[steer.IndexReply](ctx, control.client, "Steer.Index", steer.IndexArgs{})
+	if err != nil {
 		return nil, Error.New("read items: %w", err)
 	}
 	for control.node.Catalog().Index < reply.Index {
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -25,6 +25,8 @@
 	pollInterval = 400 * time.Millisecond
 	// pollTimeout bounds one question to the leader, all tries included.
 	pollTimeout = time.Second
+	// borrowTimeout bounds a question for tokens while a caller waits.
+	borrowTimeout = 150 * time.Millisecond
 	// confirmMargin is kept from the time after which a withdrawn key must not
 	// work: the upstream's work on a request begins a little later.
 	confirmMargin = time.Second
@@ -87,6 +89,7 @@
 		board:  admit.NewBoard(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
 		pool:   &pool.Pool{Belongs: belongs, Clock: options.Clock},
 	}
+	entry.purse.Borrow = entry.borrow
 	entry.follower = fetch.NewFollower(entry.client, entry.leaderIndex.Load, options.Log)
 	entry.relay = &relay.Relay{
 		Protocol: protocol, Board: entry.board, Pool: entry.pool, Purse: entry.purse, Belief: entry.belief,
@@ -199,13 +202,12 @@
 		Entry:  state.Entry{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre},
 		Report: entry.purse.Report(sent, settings.Host.Name), Keys: keys,
 	}
-	reply := steer.PollReply{}
-	err := entry.client.CallLeader(ctx, "Steer.Poll", args, &reply)
+	reply, err := group.CallLeader[steer.PollReply](ctx, entry.client, "Steer.Poll", args)
 	entry.noteContact(err)
 	if err != nil {
 		return
 	}
-	entry.purse.Accept(sent, reply.Grant)
+	entry.purse.Accept(sent, entry.options.Clock.Now(), reply.Grant)
 	entry.client.Learn(reply.Members)
 	entry.leaderIndex.Store(reply.Index)
 	entry.mutex.Lock()
@@ -216,6 +218,18 @@
 	}
 }
 
+// borrow asks the leader for tokens of a workspace's rate.
+func (entry *Entry) borrow(ctx context.Context, workspace string, wanted float64) (share.Loan, error) {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	args := steer.LoanArgs{Host: entry.options.Settings.Host.Name, Workspace: workspace, Wanted: wanted}
+	reply, err := group.CallLeader[steer.LoanReply](ctx, entry.client, "Steer.Lend", args)
+	if err != nil {
+		return share.Loan{}, Error.New("borrow tokens: %w", err)
+	}
+	return reply.Loan, nil
+}
+
 // noteContact logs when the leader is lost and regained.
 func (entry *Entry) noteContact(err error) {
 	entry.mutex.Lock()
--- a/internal/rates/share/book.go
+++ b/internal/rates/share/book.go
@@ -1,6 +1,8 @@
-// Package share divides a workspace's rate among entry hosts. Each host has a
-// standing part with an expiry; the parts that may be in use never add up to
-// more than the whole rate, and follow the demand.
+// Package share keeps workspaces within their rates over all entry hosts. The
+// control leader lends tokens of one bucket for each workspace. Besides, each
+// host has a standing part of the rate with an expiry, on which it goes on while
+// it does not reach the leader; the parts that may be in use never add up to
+// more than the whole rate.
 package share
 
 import (
@@ -30,8 +32,9 @@
 
 // holder is one host's account.
 type holder struct {
-	grants []grant
-	demand map[string]float64
+	grants  []grant
+	demand  map[string]float64
+	heardAt time.Time
 }
 
 // inUse returns the largest part that the host may be using.
@@ -62,6 +65,8 @@
 	Number uint64
 	Parts  Parts
 	Term   time.Duration
+	// Lent are tokens lent ahead, by workspace.
+	Lent map[string]float64
 }
 
 // Book is the account of all parts that hosts may be using. It belongs to the
@@ -69,9 +74,12 @@
 // is empty.
 type Book struct {
 	hosts map[string]*holder
+	banks map[string]*bank
 	next  uint64
 	// openAt is when parts granted by an earlier leader have surely ended.
 	openAt time.Time
+	// allKnown is set once every host that may hold parts has reported.
+	allKnown bool
 }
 
 // termShift leaves room for a term's grants below the number of the term.
@@ -87,8 +95,8 @@
 func (book *Book) Forget(host string) { delete(book.hosts, host) }
 
 // Grant answers a host's report. Hosts are all entry hosts that may hold parts
-// from an earlier leader; rates are in requests per second by workspace.
-func (book *Book) Grant(now time.Time, report Report, hosts []string, rates map[string]float64) Grant {
+// from an earlier leader.
+func (book *Book) Grant(now time.Time, report Report, hosts []string, rates map[string]Rate) Grant {
 	if book.hosts == nil {
 		book.hosts = map[string]*holder{}
 	}
@@ -101,21 +109,23 @@
 		}
 	}
 	account.demand = report.Demand
+	account.heardAt = now
 	account.settle(report.Got, now)
 	book.next++
 	answer := Grant{Number: book.next, Parts: Parts{}, Term: Term}
 	complete := book.complete(now, hosts)
 	for workspace, rate := range rates {
-		if rate <= 0 {
+		if rate.PerSecond <= 0 {
 			continue
 		}
 		part := account.inUse(workspace, now)
 		if complete {
-			part = book.part(now, report.Host, workspace, rate, len(hosts))
+			part = book.part(now, report.Host, workspace, rate.PerSecond, len(hosts))
 		}
 		answer.Parts[workspace] = part
 	}
 	account.grants = append(account.grants, grant{number: answer.Number, parts: answer.Parts, until: now.Add(Term)})
+	answer.Lent = book.ahead(now, report.Host, rates)
 	return answer
 }
 
@@ -150,6 +160,7 @@
 			return false
 		}
 	}
+	book.allKnown = true
 	return true
 }
 
--- a/internal/rates/share/purse.go
+++ b/internal/rates/share/purse.go
@@ -1,104 +1,157 @@
 package share
 
 import (
+	"context"
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// maxWait is the longest time that a request waits for a token rather than
-	// be refused.
-	maxWait = 150 * time.Millisecond
 	// demandTime is the time over which the demand is averaged.
 	demandTime = time.Second
 	// demandFloor is the demand per second below which it counts as none.
 	demandFloor = 0.05
+	// refusedFor is the shortest time for which a refusal of the leader counts.
+	refusedFor = 50 * time.Millisecond
+	// askAhead is the demand that a host asks for with a loan.
+	askAhead = 300 * time.Millisecond
+	// leastBurst is the least number of tokens that a standing part saves up.
+	leastBurst = 1.0
 )
 
-// bucket is a host's part of a workspace's token bucket.
-type bucket struct {
-	tokens float64
-	at     time.Time
-	full   bool
-	demand float64
-	seen   time.Time
+// Borrow asks the leader for tokens. An error means that it was not reached.
+type Borrow func(ctx context.Context, workspace string, wanted float64) (Loan, error)
+
+// account is a host's account of one workspace.
+type account struct {
+	// lent are tokens of the leader's bucket, until they expire.
+	lent      float64
+	lentUntil time.Time
+	// refusedUntil is until when the leader's last refusal counts.
+	refusedUntil time.Time
+	// saved are tokens of the standing part.
+	saved   float64
+	savedAt time.Time
+	demand  float64
+	seen    time.Time
 }
 
-// Purse holds a host's parts of all workspaces' rates. The zero Purse holds
-// none and refuses whatever is limited.
+// Purse is a host's account of all workspaces' rates. The zero Purse reaches no
+// leader, has no standing parts, and refuses whatever is limited.
 type Purse struct {
-	mutex   sync.Mutex
-	parts   Parts
-	until   time.Time
-	number  uint64
-	buckets map[string]*bucket
+	// Borrow asks the leader for tokens.
+	Borrow Borrow
+
+	mutex    sync.Mutex
+	parts    Parts
+	until    time.Time
+	reached  time.Time
+	number   uint64
+	accounts map[string]*account
 }
 
-// Take takes a token of a workspace's rate. It returns how long the request
-// must wait for it, or ok false and the time until a token is expected.
-func (purse *Purse) Take(now time.Time, workspace string, rate, burst float64) (wait time.Duration, ok bool) {
-	if rate <= 0 {
+// Take takes a token of a workspace's rate. Where there is none it returns false
+// and the time after which there may be one.
+func (purse *Purse) Take(ctx context.Context, now time.Time, workspace string, rate Rate) (wait time.Duration, ok bool) {
+	if rate.PerSecond <= 0 {
 		return 0, true
 	}
+	wanted, wait, ok := purse.own(now, workspace)
+	if ok || wait > 0 {
+		return wait, ok
+	}
+	if wanted > 0 && purse.Borrow != nil {
+		if loan, err := purse.Borrow(ctx, workspace, wanted); err == nil {
+			return purse.take(now, workspace, loan)
+		}
+	}
+	return purse.standing(now, workspace, rate)
+}
+
+// own takes a token that was lent before. Otherwise it returns how many tokens
+// to ask for, none where the leader is out of reach, or the rest of a refusal.
+func (purse *Purse) own(now time.Time, workspace string) (wanted float64, wait time.Duration, ok bool) {
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
-	bucket := purse.bucket(workspace, now)
-	bucket.count(now, 1)
-	part := 0.0
-	if now.Before(purse.until) {
-		part = purse.parts[workspace]
-	}
-	bucket.fill(now, rate*part, burst*part)
-	wait = maxWait
-	if speed := rate * part; speed > 0 {
-		wait = time.Duration((1 - bucket.tokens) / speed * float64(time.Second))
-	} else {
-		return time.Second, false
+	account := purse.account(workspace, now)
+	account.count(now, 1)
+	if !now.Before(account.lentUntil) {
+		account.lent = 0
 	}
-	if wait > maxWait {
-		return wait, false
+	switch {
+	case account.lent >= 1:
+		account.lent--
+		return 0, 0, true
+	case now.Before(account.refusedUntil):
+		return 0, account.refusedUntil.Sub(now), false
+	case now.Sub(purse.reached) > Reach:
+		return 0, 0, false
 	}
-	bucket.tokens--
-	return max(0, wait), true
+	return max(1, math.Floor(account.demand*askAhead.Seconds())), 0, false
 }
 
-// Return gives a token back that was not used.
-func (purse *Purse) Return(workspace string) {
+// take enters a loan and takes a token of it.
+func (purse *Purse) take(now time.Time, workspace string, loan Loan) (time.Duration, bool) {
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
-	if bucket, ok := purse.buckets[workspace]; ok {
-		bucket.tokens++
+	purse.reached = now
+	account := purse.account(workspace, now)
+	if loan.Tokens < 1 {
+		account.refusedUntil = now.Add(refusedFor)
+		return max(refusedFor, loan.Wait), false
 	}
+	account.lend(now, loan.Tokens-1)
+	return 0, true
 }
 
-func (purse *Purse) bucket(workspace string, now time.Time) *bucket {
-	if purse.buckets == nil {
-		purse.buckets = map[string]*bucket{}
+func (account *account) lend(now time.Time, tokens float64) {
+	if !now.Before(account.lentUntil) {
+		account.lent = 0
 	}
-	found, ok := purse.buckets[workspace]
-	if !ok {
-		found = &bucket{at: now, seen: now}
-		purse.buckets[workspace] = found
+	account.lent += tokens
+	account.lentUntil = now.Add(LoanTerm)
+}
+
+// standing takes a token of the host's own part of the rate.
+func (purse *Purse) standing(now time.Time, workspace string, rate Rate) (time.Duration, bool) {
+	purse.mutex.Lock()
+	defer purse.mutex.Unlock()
+	if !now.Before(purse.until) {
+		return Reach, false
 	}
-	return found
+	account := purse.account(workspace, now)
+	part := purse.parts[workspace]
+	passed := now.Sub(account.savedAt).Seconds()
+	account.savedAt = now
+	account.saved = min(max(leastBurst, rate.Burst*part), account.saved+passed*rate.PerSecond*part)
+	if account.saved >= 1 {
+		account.saved--
+		return 0, true
+	}
+	if part <= 0 {
+		return Reach, false
+	}
+	return time.Duration((1 - account.saved) / (rate.PerSecond * part) * float64(time.Second)), false
 }
 
-// fill adds the tokens of the time that has passed. The first filling brings
-// the whole burst.
-func (bucket *bucket) fill(now time.Time, rate, burst float64) {
-	if !bucket.full && burst > 0 {
-		bucket.full = true
-		bucket.tokens = burst
+func (purse *Purse) account(workspace string, now time.Time) *account {
+	if purse.accounts == nil {
+		purse.accounts = map[string]*account{}
+	}
+	found, ok := purse.accounts[workspace]
+	if !ok {
+		found = &account{savedAt: now, seen: now}
+		purse.accounts[workspace] = found
 	}
-	bucket.tokens = min(max(burst, 1), bucket.tokens+rate*now.Sub(bucket.at).Seconds())
-	bucket.at = now
+	return found
 }
 
 // count keeps the average demand in requests per second.
-func (bucket *bucket) count(now time.Time, requests float64) {
-	passed := now.Sub(bucket.seen).Seconds() / demandTime.Seconds()
-	bucket.seen = now
-	bucket.demand = bucket.demand/(1+passed) + requests/demandTime.Seconds()
+func (account *account) count(now time.Time, requests float64) {
+	passed := now.Sub(account.seen).Seconds() / demandTime.Seconds()
+	account.seen = now
+	account.demand = account.demand/(1+passed) + requests/demandTime.Seconds()
 }
 
 // Report returns what the host says to the control leader.
@@ -109,19 +162,23 @@
 	if now.Before(purse.until) {
 		report.Held, report.Left = purse.parts, purse.until.Sub(now)
 	}
-	for workspace, bucket := range purse.buckets {
-		bucket.count(now, 0)
-		if bucket.demand > demandFloor {
-			report.Demand[workspace] = bucket.demand
+	for workspace, account := range purse.accounts {
+		account.count(now, 0)
+		if account.demand > demandFloor {
+			report.Demand[workspace] = account.demand
 		}
 	}
 	return report
 }
 
 // Accept puts a grant in force that answers a report sent at the given time.
-func (purse *Purse) Accept(sent time.Time, grant Grant) {
+func (purse *Purse) Accept(sent, now time.Time, grant Grant) {
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
 	purse.parts, purse.number = grant.Parts, grant.Number
 	purse.until = sent.Add(grant.Term)
+	purse.reached = now
+	for workspace, tokens := range grant.Lent {
+		purse.account(workspace, now).lend(now, tokens)
+	}
 }
