Keep a leaving upstream leaving

Change: silence is marked by a command of its own, and the state machine keeps a life of an upstream leaving.

Ruled out: a stale catalog at the entry host; its version was current.

--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -233,6 +233,7 @@
 	kindPutItems:           decodeAs[PutItems],
 	kindEvacuateDataCentre: decodeAs[EvacuateDataCentre],
 	kindSeeInstance:        decodeAs[SeeInstance],
+	kindMarkSilent:         decodeAs[MarkSilent],
 	kindForgetInstances:    decodeAs[ForgetInstances],
 	kindChangeSpans:        decodeAs[ChangeSpans],
 	kindSeeEntry:           decodeAs[SeeEntry],
--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -57,6 +57,10 @@
 // SeeInstance enters or changes an upstream that announced itself.
 type SeeInstance struct{ Instance Instance }
 
+// MarkSilent says that upstreams have sent no heartbeat for a while. It changes
+// nothing else, so that it can't undo what was committed beside it.
+type MarkSilent struct{ Owners []spans.Owner }
+
 // ForgetInstances drops upstreams that are gone.
 type ForgetInstances struct{ Owners []spans.Owner }
 
@@ -78,6 +82,7 @@
 	kindPutItems           commandKind = "putItems"
 	kindEvacuateDataCentre commandKind = "evacuateDataCentre"
 	kindSeeInstance        commandKind = "seeInstance"
+	kindMarkSilent         commandKind = "markSilent"
 	kindForgetInstances    commandKind = "forgetInstances"
 	kindChangeSpans        commandKind = "changeSpans"
 	kindSeeEntry           commandKind = "seeEntry"
@@ -88,6 +93,7 @@
 func (PutItems) kind() commandKind           { return kindPutItems }
 func (EvacuateDataCentre) kind() commandKind { return kindEvacuateDataCentre }
 func (SeeInstance) kind() commandKind        { return kindSeeInstance }
+func (MarkSilent) kind() commandKind         { return kindMarkSilent }
 func (ForgetInstances) kind() commandKind    { return kindForgetInstances }
 func (ChangeSpans) kind() commandKind        { return kindChangeSpans }
 func (SeeEntry) kind() commandKind           { return kindSeeEntry }
@@ -111,6 +117,8 @@
 		}
 	case SeeInstance:
 		catalog.seeInstance(command.Instance)
+	case MarkSilent:
+		catalog.markSilent(command)
 	case ForgetInstances:
 		for _, owner := range command.Owners {
 			if catalog.Instances[owner.ID].Born == owner.Born {
@@ -170,12 +178,27 @@
 	return result
 }
 
+func (catalog *Catalog) markSilent(command MarkSilent) {
+	catalog.Instances = maps.Clone(catalog.Instances)
+	for _, owner := range command.Owners {
+		if instance, ok := catalog.Instances[owner.ID]; ok && instance.Born == owner.Born {
+			instance.Silent = true
+			catalog.Instances[owner.ID] = instance
+		}
+	}
+}
+
 // seeInstance enters an instance. An older life of the same upstream, or an
-// upstream that had the address before, is gone.
+// upstream that had the address before, is gone. One that drains does so for the
+// rest of its life, whatever a heartbeat says that was heard before.
 func (catalog *Catalog) seeInstance(instance Instance) {
-	if present, ok := catalog.Instances[instance.ID]; ok && present.Born > instance.Born {
+	present, ok := catalog.Instances[instance.ID]
+	if ok && present.Born > instance.Born {
 		return
 	}
+	if ok && present.Born == instance.Born && present.Draining {
+		instance.Draining = true
+	}
 	next := with(catalog.Instances, instance.ID, instance)
 	for id, other := range next {
 		if id != instance.ID && other.Address == instance.Address && other.Born < instance.Born {
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -200,19 +200,21 @@
 func (steer *Steer) noteSilence(ctx context.Context) {
 	catalog := steer.node.Catalog()
 	now := steer.clock.Now()
-	var gone []spans.Owner
+	var gone, silent []spans.Owner
 	for _, instance := range catalog.Instances {
 		silence, left := steer.silence(instance.Owner(), now)
 		switch {
 		case silence > forgetAfter || left && silence > holdEnd:
 			gone = append(gone, instance.Owner())
 		case silence > silentAfter && !instance.Silent:
-			instance.Silent = true
+			silent = append(silent, instance.Owner())
 			steer.log.WithField("upstream", instance.ID).WithField("silentFor", silence.String()).
 				Info(logPrefix + "an upstream is silent")
-			steer.propose(ctx, state.SeeInstance{Instance: instance})
 		}
 	}
+	if len(silent) > 0 {
+		steer.propose(ctx, state.MarkSilent{Owners: silent})
+	}
 	if len(gone) > 0 {
 		steer.log.WithField("upstreams", len(gone)).Info(logPrefix + "upstreams are gone")
 		steer.propose(ctx, state.ForgetInstances{Owners: gone})
