Follow the control leader also where it is none of the seeds

Ruled out: the reads of consensus; the leader answered quickly, as the new log lines of reads show.

Change: a hint to an unknown host adds it; replies of steer carry hints.

--- a/internal/base/conf/direct.go
+++ b/internal/base/conf/direct.go
@@ -164,3 +164,12 @@
 	}
 	return hosts
 }
+
+// ControlPort returns the port at which control hosts take calls.
+func (direct *Direct) ControlPort() uint16 {
+	address, err := netip.ParseAddrPort(direct.Listen.Control)
+	if err != nil {
+		return 0 // check has refused such settings
+	}
+	return address.Port()
+}
--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -175,8 +175,12 @@
 	return reply, err
 }
 
-// moveOn tries the hinted leader next, or else the next host.
+// moveOn tries the hinted leader next, or else the next host. A leader that is
+// not known yet is added.
 func (client *Client) moveOn(position int, hint string) {
+	if address, err := netip.ParseAddrPort(hint); err == nil {
+		client.Learn([]netip.AddrPort{address})
+	}
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	if client.leader != position {
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -176,12 +176,13 @@
 // IndexReply tells it.
 type IndexReply struct {
 	NotLeader bool
+	Leader    string
 	Index     uint64
 }
 
-// FromLeader tells whether the reply is the leader's.
+// FromLeader tells whether the reply is the leader's, and where it is if not.
 func (indexreply *IndexReply) FromLeader() (leads bool, hint string) {
-	return !indexreply.NotLeader, ""
+	return !indexreply.NotLeader, indexreply.Leader
 }
 
 // Index answers a control host that was asked for the configuration.
@@ -190,7 +191,7 @@
 	defer cancel()
 	catalog, err := remote.node.Read(ctx)
 	if err != nil {
-		reply.NotLeader = true
+		reply.NotLeader, reply.Leader = true, remote.steer.leaderAddress()
 		return nil
 	}
 	reply.Index = catalog.Index
@@ -201,6 +202,7 @@
 // passed on.
 type BeatReply struct {
 	NotLeader bool
+	Leader    string
 	Answer    Answer
 }
 
@@ -209,7 +211,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 	defer cancel()
 	answer, err := remote.steer.Beat(ctx, args)
-	*reply = BeatReply{NotLeader: err != nil, Answer: answer}
+	*reply = BeatReply{Answer: answer}
+	if err != nil {
+		reply.NotLeader, reply.Leader = true, remote.steer.leaderAddress()
+	}
 	return nil
 }
 
@@ -217,11 +222,13 @@
 func (remote *Remote) Leave(id string, reply *BeatReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 	defer cancel()
-	reply.NotLeader = remote.steer.Leave(ctx, id) != nil
+	if remote.steer.Leave(ctx, id) != nil {
+		reply.NotLeader, reply.Leader = true, remote.steer.leaderAddress()
+	}
 	return nil
 }
 
-// FromLeader tells whether the reply is the leader's.
+// FromLeader tells whether the reply is the leader's, and where it is if not.
 func (beatreply *BeatReply) FromLeader() (leads bool, hint string) {
-	return !beatreply.NotLeader, ""
+	return !beatreply.NotLeader, beatreply.Leader
 }
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -228,6 +228,19 @@
 // Items returns the configuration items in force, none older than what was
 // acknowledged before the call.
 func (control *Control) Items(ctx context.Context) ([]items.Item, error) {
+	began := control.options.Clock.Now()
+	inForce, err := control.readItems(ctx)
+	line := control.options.Log.WithField("items", len(inForce)).WithField("version", control.node.Catalog().Index).
+		WithField("after", control.options.Clock.Now().Sub(began).String())
+	if err != nil {
+		line.WithError(err).Warn(logPrefix + "configuration is not read")
+		return nil, err
+	}
+	line.Info(logPrefix + "configuration is read")
+	return inForce, nil
+}
+
+func (control *Control) readItems(ctx context.Context) ([]items.Item, error) {
 	catalog, err := control.node.Read(ctx)
 	if err == nil {
 		return catalog.Items.InForce(), nil
