Place keys by the measured speed of upstreams

Change: entry hosts report what requests took without waiting; keys are placed in proportion to speed, moved off every upstream that is used too much, to one whose heartbeat comes soon after the release. Spans that changed hands wait for their owner's heartbeat. Windows shrink while an upstream's queue is long.

--- a/internal/control/spans/spans.go
+++ b/internal/control/spans/spans.go
@@ -4,6 +4,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -31,6 +32,9 @@
 	Next Owner
 	// Handover is the token that the last owner left for the present one.
 	Handover string
+	// Settle is the expected time from the assignment until the owner learns of it
+	// and serves the keys.
+	Settle time.Duration
 }
 
 // Moving tells whether the owner is to let go of the span.
@@ -41,7 +45,7 @@
 
 func (span Span) joins(next Span) bool {
 	return span.To != MaxKey && span.To+1 == next.From && span.Owner == next.Owner &&
-		span.Fence == next.Fence && span.Next == next.Next && span.Handover == next.Handover
+		span.Fence == next.Fence && span.Next == next.Next && span.Handover == next.Handover && span.Settle == next.Settle
 }
 
 // Change gives keys to an owner, or marks them as moving to one.
@@ -54,6 +58,7 @@
 	// Both empty takes a mark back.
 	Next     Owner
 	Handover string
+	Settle   time.Duration
 }
 
 // Table is the ownership of one service's keys: spans without gaps, in order.
@@ -118,6 +123,7 @@
 	span.Fence = index
 	span.Next = Owner{}
 	span.Handover = change.Handover
+	span.Settle = change.Settle
 }
 
 // cut makes a span begin at the key.
--- a/internal/control/steer/beat.go
+++ b/internal/control/steer/beat.go
@@ -142,6 +142,9 @@
 		steer.holders[owner] = known
 	}
 	known.sequence = max(known.sequence, beat.Sequence)
+	if since := now.Sub(known.heardAt); since > leastInterval && since < silentAfter {
+		known.interval = since
+	}
 	known.heardAt = now
 	known.holds = beat.Holds
 }
@@ -160,11 +163,20 @@
 		if !released && !steer.movingFor(service, span, staleGrant) {
 			continue
 		}
-		changes = append(changes, spans.Change{From: span.From, To: span.To, Owner: span.Next, Handover: handover})
+		changes = append(changes, spans.Change{
+			From: span.From, To: span.To, Owner: span.Next, Handover: handover, Settle: steer.settle(span.Next),
+		})
 	}
 	steer.changeSpans(ctx, service, table, changes)
 }
 
+// settle returns the time until an upstream learns of new keys.
+func (steer *Steer) settle(owner spans.Owner) time.Duration {
+	steer.mutex.Lock()
+	defer steer.mutex.Unlock()
+	return steer.nextBeat(owner, steer.clock.Now()) + settleMargin
+}
+
 func overlaps(rows []Row, span spans.Span) bool {
 	for _, row := range rows {
 		if row.From <= span.To && row.To >= span.From {
@@ -216,7 +228,6 @@
 	}
 	if len(answer.Holds) > 0 {
 		known.until = received.Add(holdEnd)
-		known.grants++
 	}
 	return answer, true
 }
--- a/internal/control/steer/loads.go
+++ b/internal/control/steer/loads.go
@@ -74,3 +74,15 @@
 	}
 	return from + uint16(offset)
 }
+
+// cutBack returns the start of the range that ends at to, starts at from at the
+// least, and has about the load.
+func (loadsums *loadSums) cutBack(from, to uint16, load float64) uint16 {
+	wanted := loadsums[int(to)+1] - load
+	length := int(to) - int(from) + 1
+	offset := sort.Search(length, func(offset int) bool { return loadsums[int(from)+offset] >= wanted })
+	if offset >= length {
+		return to
+	}
+	return from + uint16(offset)
+}
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -24,7 +25,7 @@
 		return
 	}
 	changes := placement.settle()
-	if len(changes) == 0 && steer.balanceDue() {
+	if len(changes) == 0 && steer.balanceDue() && steer.clock.Now().Sub(steer.since) > learnTime {
 		changes = placement.balance()
 	}
 	steer.changeSpans(ctx, service, catalog.Spans[service], changes)
@@ -93,7 +94,7 @@
 	}
 	placement := &placement{
 		table: catalog.Spans[service], loads: loads.sums(now), free: map[spans.Owner]bool{},
-		owned: map[spans.Owner]float64{},
+		owned: map[spans.Owner]float64{}, nextBeat: map[spans.Owner]time.Duration{},
 	}
 	instances := catalog.InstancesOf(service)
 	slices.SortFunc(instances, func(left, right state.Instance) int { return compareInstances(left, right) })
@@ -103,9 +104,10 @@
 	for _, instance := range instances {
 		if catalog.Wanted(instance) && !instance.Silent && (!instance.Cold || !warm) {
 			placement.candidates = append(placement.candidates, instance.Owner())
-			placement.places = append(placement.places, instance.DataCentre)
+			placement.nextBeat[instance.Owner()] = steer.nextBeat(instance.Owner(), now)
 		}
 	}
+	placement.weights = steer.speeds.weights(instances)
 	for _, span := range placement.table.All() {
 		placement.free[span.Owner] = steer.holdsEnded(catalog, span.Owner, now)
 		if !placement.free[span.Owner] {
@@ -128,6 +130,19 @@
 	}
 }
 
+// nextBeat returns the time until an upstream's next heartbeat is expected.
+func (steer *Steer) nextBeat(owner spans.Owner, now time.Time) time.Duration {
+	known, ok := steer.holders[owner]
+	if !ok {
+		return usualInterval
+	}
+	interval := known.interval
+	if interval == 0 {
+		interval = usualInterval
+	}
+	return max(0, interval-now.Sub(known.heardAt))
+}
+
 // holdsEnded tells whether an owner surely holds nothing: its process is known
 // to have been replaced, or all that it was granted has ended.
 func (steer *Steer) holdsEnded(catalog *state.Catalog, owner spans.Owner, now time.Time) bool {
@@ -148,9 +163,8 @@
 // fields.
 type placement struct {
 	table spans.Table
-	// candidates may get keys; places are their data centres.
+	// candidates may get keys.
 	candidates []spans.Owner
-	places     []string
 	// free owners surely hold nothing.
 	free map[spans.Owner]bool
 	// leaving owners hold keys but should let go.
@@ -158,6 +172,10 @@
 	loads   *loadSums
 	// owned is the load of each candidate, with what is moving to it.
 	owned map[spans.Owner]float64
+	// weights say how much load each candidate bears, 1 on average.
+	weights map[spans.Owner]float64
+	// nextBeat is the time until each candidate's next heartbeat.
+	nextBeat map[spans.Owner]time.Duration
 }
 
 func (placement *placement) setLeaving(owner spans.Owner, leaving bool) {
@@ -183,24 +201,58 @@
 	}
 }
 
-// target is the load that each candidate should own.
+// target is the load that a candidate of weight 1 should own.
 func (placement *placement) target() float64 {
-	return placement.loads.of(0, spans.MaxKey) / float64(len(placement.candidates))
+	total := 0.0
+	for _, candidate := range placement.candidates {
+		total += placement.weight(candidate)
+	}
+	return placement.loads.of(0, spans.MaxKey) / total
 }
 
-// least returns the candidate that owns least.
-func (placement *placement) least(except spans.Owner) (spans.Owner, float64) {
+func (placement *placement) weight(owner spans.Owner) float64 {
+	if weight, known := placement.weights[owner]; known {
+		return weight
+	}
+	return 1
+}
+
+// use is an owner's load in relation to what it bears.
+func (placement *placement) use(owner spans.Owner) float64 {
+	return placement.owned[owner] / placement.weight(owner)
+}
+
+// least returns the candidate that is used least.
+func (placement *placement) least(except spans.Owner) spans.Owner {
 	var best spans.Owner
-	lowest := 0.0
 	for _, candidate := range placement.candidates {
 		if candidate == except {
 			continue
 		}
-		if load := placement.owned[candidate]; best == (spans.Owner{}) || load < lowest {
-			best, lowest = candidate, load
+		if best == (spans.Owner{}) || placement.use(candidate) < placement.use(best) {
+			best = candidate
 		}
 	}
-	return best, lowest
+	return best
+}
+
+// taker returns the candidate that should take keys from the owner: among those
+// that are used little, one whose heartbeat comes soon after the owner's, so that
+// the keys are without a holder for a short time.
+func (placement *placement) taker(from spans.Owner, target float64) spans.Owner {
+	best := placement.least(from)
+	bestCost := math.Inf(1)
+	for _, candidate := range placement.candidates {
+		room := 1 - placement.use(candidate)/target
+		if candidate == from || room < balanceLeast {
+			continue
+		}
+		gap := (placement.nextBeat[candidate] - placement.nextBeat[from] - releaseTime + 2*usualInterval) % usualInterval
+		if cost := gap.Seconds()/usualInterval.Seconds() - room; cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return best
 }
 
 // settle gives keys without a holder away, and tells owners that leave to let
@@ -215,7 +267,9 @@
 		switch {
 		case placement.free[span.Owner] && !placement.candidate(span.Owner):
 			if placement.candidate(span.Next) {
-				changes = append(changes, spans.Change{From: span.From, To: span.To, Owner: span.Next})
+				changes = append(changes, spans.Change{
+					From: span.From, To: span.To, Owner: span.Next, Settle: placement.nextBeat[span.Next] + settleMargin,
+				})
 				continue
 			}
 			changes = append(changes, placement.spread(span, true)...)
@@ -240,14 +294,15 @@
 	target := placement.target()
 	from := span.From
 	for {
-		taker, load := placement.least(span.Owner)
+		taker := placement.least(span.Owner)
 		if taker == (spans.Owner{}) {
 			return changes
 		}
-		to := placement.loads.cut(from, span.To, max(target-load, target/maxPieces))
+		bears := target * placement.weight(taker)
+		to := placement.loads.cut(from, span.To, max(bears-placement.owned[taker], bears/maxPieces))
 		change := spans.Change{From: from, To: to, Next: taker}
 		if free {
-			change = spans.Change{From: from, To: to, Owner: taker}
+			change = spans.Change{From: from, To: to, Owner: taker, Settle: placement.nextBeat[taker] + settleMargin}
 		}
 		changes = append(changes, change)
 		placement.owned[taker] += placement.loads.of(from, to)
@@ -266,6 +321,16 @@
 	// balanceLeast is the part of the target that a move must take off an upstream
 	// to be worth it.
 	balanceLeast = 0.15
+	// releaseTime is how long an upstream takes to release keys, from its heartbeat
+	// on: it sends another one within 100 ms once their requests have ended.
+	releaseTime = 130 * time.Millisecond
+	// settleMargin is added to the time of a heartbeat for its way.
+	settleMargin = 25 * time.Millisecond
+	// usualInterval is the time between heartbeats that is assumed of an upstream
+	// until two have come.
+	usualInterval = 870 * time.Millisecond
+	// leastInterval tells regular heartbeats from those that follow a release.
+	leastInterval = 300 * time.Millisecond
 	// movesAtOnce bounds the spans that move at a time for the sake of load.
 	movesAtOnce = 4
 )
@@ -294,38 +359,59 @@
 	return changes
 }
 
-// relieve moves one piece off the candidate that owns most.
+// relieve moves one piece off a candidate that is used too much, if one can be
+// relieved at all: a single busy key can't be cut.
 func (placement *placement) relieve(target float64, changed []spans.Change) (spans.Change, bool) {
-	most := slices.MaxFunc(placement.candidates, func(left, right spans.Owner) int {
-		return compareLoads(placement.owned[left], placement.owned[right])
+	byUse := slices.Clone(placement.candidates)
+	slices.SortFunc(byUse, func(left, right spans.Owner) int {
+		return compareLoads(placement.use(right), placement.use(left))
 	})
-	taker, low := placement.least(most)
-	excess := min(placement.owned[most]-target, target-low)
-	least := target * balanceLeast
-	if placement.owned[most] < target*balanceRatio || excess < least {
-		return spans.Change{}, false
+	for _, busy := range byUse {
+		if placement.use(busy) < target*balanceRatio {
+			return spans.Change{}, false
+		}
+		taker := placement.taker(busy, target)
+		excess := min(placement.owned[busy]-target*placement.weight(busy),
+			target*placement.weight(taker)-placement.owned[taker])
+		if excess < target*balanceLeast {
+			continue
+		}
+		piece, ok := placement.piece(busy, excess, target*balanceLeast, changed)
+		if !ok {
+			continue
+		}
+		load := placement.loads.of(piece.From, piece.To)
+		placement.owned[busy] -= load
+		placement.owned[taker] += load
+		piece.Next = taker
+		return piece, true
 	}
-	for _, span := range placement.table.OwnedBy(most) {
+	return spans.Change{}, false
+}
+
+// piece returns the end of one of the owner's spans whose load is closest to the
+// wanted one.
+func (placement *placement) piece(owner spans.Owner, wanted, least float64, changed []spans.Change) (spans.Change, bool) {
+	var best spans.Change
+	bestGap := math.Inf(1)
+	for _, span := range placement.table.OwnedBy(owner) {
 		touched := slices.ContainsFunc(changed, func(change spans.Change) bool {
 			return change.From <= span.To && change.To >= span.From
 		})
 		if span.Moving() || touched {
 			continue
 		}
-		load := placement.loads.of(span.From, span.To)
-		if load < least {
-			continue
-		}
-		to := placement.loads.cut(span.From, span.To, min(excess, load))
-		piece := placement.loads.of(span.From, to)
-		if piece < least/2 || piece > 2*excess {
-			continue
+		head := spans.Change{From: span.From, To: placement.loads.cut(span.From, span.To, wanted)}
+		tail := spans.Change{From: placement.loads.cutBack(span.From, span.To, wanted), To: span.To}
+		for _, piece := range []spans.Change{head, tail} {
+			load := placement.loads.of(piece.From, piece.To)
+			gap := math.Abs(load - wanted)
+			if load >= least/2 && load < 2*wanted && gap < bestGap {
+				best, bestGap = piece, gap
+			}
 		}
-		placement.owned[most] -= piece
-		placement.owned[taker] += piece
-		return spans.Change{From: span.From, To: to, Next: taker}, true
 	}
-	return spans.Change{}, false
+	return best, !math.IsInf(bestGap, 1)
 }
 
 func compareLoads(left, right float64) int {
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -17,6 +17,16 @@
 	// Keys lists the keys of keyed services that were asked for since the last
 	// poll, once per request.
 	Keys map[string][]uint16
+	// Work is what requests to upstreams took since the last poll, by upstream.
+	Work map[string]Work
+	// Members is the number of control hosts that the entry host knows.
+	Members int
+}
+
+// Work is what requests to an upstream took, without waiting.
+type Work struct {
+	Total time.Duration
+	Count int
 }
 
 // PollReply is the leader's answer.
@@ -26,7 +36,7 @@
 	// Index is the log index up to which everything acknowledged is committed.
 	Index uint64
 	Grant share.Grant
-	// Members are the control hosts.
+	// Members are the control hosts, where the entry host may not know all.
 	Members []netip.AddrPort
 }
 
@@ -68,8 +78,15 @@
 		}
 		loads.add(now, keys)
 	}
+	for upstream, work := range args.Work {
+		steer.speeds.add(upstream, work)
+	}
 	reply := PollReply{Index: catalog.Index, Grant: steer.book.Grant(now, args.Report, hosts, rates)}
-	for _, member := range steer.node.Status().Members {
+	members := steer.node.Status().Members
+	if args.Members >= len(members) {
+		return reply, nil
+	}
+	for _, member := range members {
 		if address, err := netip.ParseAddrPort(member.Address); err == nil {
 			reply.Members = append(reply.Members, address)
 		}
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -70,8 +70,8 @@
 	// until is when all holds of this life have surely ended.
 	until time.Time
 	holds []Row
-	// grants is the number of heartbeats answered with holds.
-	grants uint64
+	// interval is the time between two regular heartbeats.
+	interval time.Duration
 }
 
 // spanMark names a span that is moving away from an owner.
@@ -105,6 +105,7 @@
 	// gatherSince is when a service without owners was first seen.
 	gatherSince map[string]time.Time
 	loads       map[string]*loadMap
+	speeds      speeds
 	entries     map[string]time.Time
 	book        share.Book
 	balancedAt  time.Time
@@ -151,6 +152,7 @@
 	steer.movingSince = map[spanMark]time.Time{}
 	steer.gatherSince = map[string]time.Time{}
 	steer.loads = map[string]*loadMap{}
+	steer.speeds = speeds{}
 	steer.entries = map[string]time.Time{}
 	steer.book.Reset(now, term)
 }
--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,6 +22,8 @@
 	leastWorkTenths = 6
 	// leastRetryAfter is the shortest time after which callers are told to return.
 	leastRetryAfter = 100 * time.Millisecond
+	// misplacedPause is how long keys wait that their owner did not hold.
+	misplacedPause = 150 * time.Millisecond
 	// maxQueue bounds the requests that wait at one host for one service.
 	maxQueue = 512
 	// retryRatio is the part of requests that may be sent once more.
@@ -64,6 +67,7 @@
 // Ticket is the right to send one request to an upstream.
 type Ticket struct {
 	Target Target
+	ask    Ask
 	board  *Board
 	began  time.Time
 }
@@ -94,8 +98,11 @@
 type service struct {
 	table     spans.Table
 	upstreams map[spans.Owner]*upstream
-	waiters   []*waiter
-	retries   float64
+	// unsettled are spans that their owner does not serve at the moment, by first
+	// key.
+	unsettled map[uint16]unsettled
+	waiters  []*waiter
+	retries  float64
 }
 
 // Board keeps account of all upstreams and of the requests that wait for them.
@@ -123,7 +130,9 @@
 	defer board.mutex.Unlock()
 	now := board.clock.Now()
 	known := board.service(name)
+	before := known.table.Version
 	known.table = table
+	known.unsettle(before, now)
 	present := map[spans.Owner]*upstream{}
 	for _, target := range targets {
 		entry, ok := known.upstreams[target.Owner]
@@ -141,7 +150,9 @@
 func (board *Board) service(name string) *service {
 	known, ok := board.services[name]
 	if !ok {
-		known = &service{upstreams: map[spans.Owner]*upstream{}, retries: retryBurst}
+		known = &service{
+			upstreams: map[spans.Owner]*upstream{}, unsettled: map[uint16]unsettled{}, retries: retryBurst,
+		}
 		board.services[name] = known
 	}
 	return known
@@ -279,7 +290,7 @@
 			continue
 		}
 		entry.begin()
-		waiting.given <- &Ticket{Target: entry.target, board: board, began: now}
+		waiting.given <- &Ticket{Target: entry.target, ask: waiting.ask, board: board, began: now}
 	}
 	clear(known.waiters[len(rest):])
 	known.waiters = rest
@@ -316,6 +327,9 @@
 func ownerOf(known *service, ask Ask, now time.Time, open bool) *upstream {
 	span := known.table.Find(ask.Key)
 	entry, ok := known.upstreams[span.Owner]
+	if mark, ok := known.unsettled[span.From]; ok && mark.fence == span.Fence && now.Before(mark.until) {
+		return nil
+	}
 	switch {
 	case !ok, entry.target.Leaving && now.After(entry.target.LeaveBy), open && !entry.open(now):
 		return nil
@@ -357,18 +371,68 @@
 	}
 	switch result {
 	case ResultAnswered:
-		entry.answered(now, now.Sub(ticket.began))
+		entry.answered(now, now.Sub(ticket.began), load)
 	case ResultShed:
 		entry.shed(now)
 	case ResultFailed:
 		entry.failed(now)
 	case ResultMisplaced:
-		entry.pausedUntil = now.Add(shedPause)
+		known.misplaced(ticket, now)
 	case ResultLeft:
 	}
 	board.pump(known, now)
 }
 
+// unsettled marks a span whose owner does not serve it yet, or no longer.
+type unsettled struct {
+	fence uint64
+	until time.Time
+}
+
+// unsettle marks the spans that changed hands after the version, for the time
+// that their owners need to learn of it.
+func (service *service) unsettle(version uint64, now time.Time) {
+	maps.DeleteFunc(service.unsettled, func(_ uint16, mark unsettled) bool { return now.After(mark.until) })
+	if version == 0 {
+		return
+	}
+	for _, span := range service.table.Spans {
+		if span.Fence > version && span.Settle > 0 {
+			service.unsettled[span.From] = unsettled{fence: span.Fence, until: now.Add(span.Settle)}
+		}
+	}
+}
+
+// misplaced notes that an upstream does not hold the key of a request.
+func (service *service) misplaced(ticket *Ticket, now time.Time) {
+	span := service.table.Find(ticket.ask.Key)
+	if ticket.ask.Keyed && span.Owner == ticket.Target.Owner {
+		service.unsettled[span.From] = unsettled{fence: span.Fence, until: now.Add(misplacedPause)}
+	}
+}
+
+// Work is what requests to an upstream took.
+type Work struct {
+	Total time.Duration
+	Count int
+}
+
+// Work returns what requests to each upstream took since the last call.
+func (board *Board) Work() map[string]Work {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	report := map[string]Work{}
+	for _, known := range board.services {
+		for owner, entry := range known.upstreams {
+			if entry.workCount > 0 {
+				report[owner.ID] = Work{Total: entry.work.Round(time.Millisecond), Count: entry.workCount}
+				entry.work, entry.workCount = 0, 0
+			}
+		}
+	}
+	return report
+}
+
 // Count counts a request for a service towards the budget of repeats.
 func (board *Board) Count(name string) {
 	board.mutex.Lock()
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -16,6 +16,8 @@
 	windowShrink = 0.7
 	// windowGrow is added to the window by an answer.
 	windowGrow = 0.15
+	// windowYield is taken off the window by an answer that tells of a long queue.
+	windowYield = 0.4
 	// firstTypical is assumed of an upstream that has not answered yet.
 	firstTypical = 150 * time.Millisecond
 	// typicalTenths is the weight of the latest answer in an average, in tenths.
@@ -74,6 +76,10 @@
 	answeredAt  time.Time
 	coldTokens  float64
 	coldAt      time.Time
+	// work sums up what requests took without waiting, and workCount counts them,
+	// since the last report.
+	work      time.Duration
+	workCount int
 }
 
 func newUpstream(target Target, now time.Time) *upstream {
@@ -125,12 +131,30 @@
 	return work + work*time.Duration(queued)/time.Duration(slots)
 }
 
-// answered notes an answer.
-func (upstream *upstream) answered(now time.Time, took time.Duration) {
+// answered notes an answer. The window shrinks while the upstream's queue is
+// long, so that requests wait here, where the most urgent goes first.
+func (upstream *upstream) answered(now time.Time, took time.Duration, load *Load) {
 	upstream.answeredAt = now
 	upstream.pause, upstream.pausedUntil = 0, time.Time{}
 	upstream.typical += (took - upstream.typical) * typicalTenths / 10
-	upstream.window = min(upstream.window+windowGrow, maxWindow*float64(max(1, upstream.target.Slots)))
+	slots := max(1, upstream.target.Slots)
+	if load != nil && load.Waiting > slots {
+		upstream.window = max(1, upstream.window-windowYield)
+	} else {
+		upstream.window = min(upstream.window+windowGrow, maxWindow*float64(slots))
+	}
+	upstream.noteWork(took, load)
+}
+
+// noteWork adds what the request took, less what it waited at the upstream and
+// what neighbours of its machine slowed it down.
+func (upstream *upstream) noteWork(took time.Duration, load *Load) {
+	if load != nil {
+		took = took * usualPace / time.Duration(max(usualPace/2, load.Pace))
+		took = took * time.Duration(max(1, load.Slots)) / time.Duration(max(1, load.Slots)+load.Waiting)
+	}
+	upstream.work += took
+	upstream.workCount++
 }
 
 // shed notes that the upstream had no room.
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -61,6 +61,9 @@
 	cancel      context.CancelFunc
 	tasks       sync.WaitGroup
 
+	// members is the number of control hosts known, used by the polling task only.
+	members int
+
 	mutex       sync.Mutex
 	confirmedAt time.Time
 	unconfirmed []confirmation
@@ -200,7 +203,11 @@
 	sent := entry.options.Clock.Now()
 	args := steer.PollArgs{
 		Entry:  state.Entry{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre},
-		Report: entry.purse.Report(sent, settings.Host.Name), Keys: keys,
+		Report: entry.purse.Report(sent, settings.Host.Name), Keys: keys, Work: map[string]steer.Work{},
+		Members: entry.members,
+	}
+	for upstream, work := range entry.board.Work() {
+		args.Work[upstream] = steer.Work(work)
 	}
 	reply, err := group.CallLeader[steer.PollReply](ctx, entry.client, "Steer.Poll", args)
 	entry.noteContact(err)
@@ -209,6 +216,7 @@
 	}
 	entry.purse.Accept(sent, entry.options.Clock.Now(), reply.Grant)
 	entry.client.Learn(reply.Members)
+	entry.members = max(entry.members, len(reply.Members))
 	entry.leaderIndex.Store(reply.Index)
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
--- a/internal/rates/share/book.go
+++ b/internal/rates/share/book.go
@@ -6,6 +6,7 @@
 package share
 
 import (
+	"math"
 	"time"
 )
 
@@ -15,6 +16,10 @@
 	Term = 5 * time.Second
 	// floorPart is what every host gets of an even division, whatever its demand.
 	floorPart = 0.25
+	// partSteps is how finely rates are divided.
+	partSteps = 1024
+	// partTolerance is by how much a part may change before a host is told.
+	partTolerance = 0.03
 	// keptGrants bounds the unacknowledged grants that are remembered per host;
 	// older ones are counted with the oldest remembered.
 	keptGrants = 8
@@ -53,7 +58,8 @@
 	Host string
 	// Got is the number of the last grant that reached the host.
 	Got uint64
-	// Held are the parts that the host uses, and Left how long they still count.
+	// Held are the parts that the host uses, if the leader asked for them, and
+	// Left is how long they still count.
 	Held Parts
 	Left time.Duration
 	// Demand is what callers ask of the host, in requests per second.
@@ -62,9 +68,12 @@
 
 // Grant is the answer to a Report.
 type Grant struct {
-	Number uint64
-	Parts  Parts
-	Term   time.Duration
+	// Unknown asks for a report with the parts held; nothing is granted.
+	Unknown bool
+	Number  uint64
+	// Parts are in force from now on. Without them those held go on, for Term.
+	Parts Parts
+	Term  time.Duration
 	// Lent are tokens lent ahead, by workspace.
 	Lent map[string]float64
 }
@@ -102,6 +111,9 @@
 	}
 	account, known := book.hosts[report.Host]
 	if !known {
+		if report.Left > 0 && report.Held == nil {
+			return Grant{Unknown: true}
+		}
 		account = &holder{}
 		book.hosts[report.Host] = account
 		if report.Left > 0 {
@@ -111,6 +123,7 @@
 	account.demand = report.Demand
 	account.heardAt = now
 	account.settle(report.Got, now)
+	held := account.held(report.Got)
 	book.next++
 	answer := Grant{Number: book.next, Parts: Parts{}, Term: Term}
 	complete := book.complete(now, hosts)
@@ -122,13 +135,43 @@
 		if complete {
 			part = book.part(now, report.Host, workspace, rate.PerSecond, len(hosts))
 		}
-		answer.Parts[workspace] = part
+		answer.Parts[workspace] = math.Floor(part*partSteps) / partSteps
+	}
+	if held.near(answer.Parts) {
+		answer.Parts = held
 	}
 	account.grants = append(account.grants, grant{number: answer.Number, parts: answer.Parts, until: now.Add(Term)})
+	if held != nil && held.near(answer.Parts) {
+		answer.Parts = nil // the host holds them already
+	}
 	answer.Lent = book.ahead(now, report.Host, rates)
 	return answer
 }
 
+// held returns the parts of the grant that the host has got, or nil.
+func (holder *holder) held(got uint64) Parts {
+	for _, grant := range holder.grants {
+		if grant.number == got && got > 0 {
+			return grant.parts
+		}
+	}
+	return nil
+}
+
+// near tells whether the parts are so much like others that they stay.
+func (parts Parts) near(others Parts) bool {
+	if parts == nil || len(parts) != len(others) {
+		return false
+	}
+	for workspace, part := range parts {
+		other, ok := others[workspace]
+		if !ok || math.Abs(part-other) > max(partTolerance, partTolerance*part) {
+			return false
+		}
+	}
+	return true
+}
+
 // settle drops the grants that a later one has replaced at the host.
 func (holder *holder) settle(got uint64, now time.Time) {
 	kept := holder.grants[:0]
--- a/internal/rates/share/purse.go
+++ b/internal/rates/share/purse.go
@@ -12,6 +12,8 @@
 	demandTime = time.Second
 	// demandFloor is the demand per second below which it counts as none.
 	demandFloor = 0.05
+	// demandSteps is how finely the demand per second is told.
+	demandSteps = 4
 	// refusedFor is the shortest time for which a refusal of the leader counts.
 	refusedFor = 50 * time.Millisecond
 	// askAhead is the demand that a host asks for with a loan.
@@ -43,11 +45,13 @@
 	// Borrow asks the leader for tokens.
 	Borrow Borrow
 
-	mutex    sync.Mutex
-	parts    Parts
-	until    time.Time
-	reached  time.Time
-	number   uint64
+	mutex   sync.Mutex
+	parts   Parts
+	until   time.Time
+	reached time.Time
+	number  uint64
+	// asked is set where the leader wants to know the parts held.
+	asked    bool
 	accounts map[string]*account
 }
 
@@ -160,12 +164,15 @@
 	defer purse.mutex.Unlock()
 	report := Report{Host: host, Got: purse.number, Demand: map[string]float64{}}
 	if now.Before(purse.until) {
-		report.Held, report.Left = purse.parts, purse.until.Sub(now)
+		report.Left = purse.until.Sub(now)
+		if purse.asked {
+			report.Held = purse.parts
+		}
 	}
 	for workspace, account := range purse.accounts {
 		account.count(now, 0)
 		if account.demand > demandFloor {
-			report.Demand[workspace] = account.demand
+			report.Demand[workspace] = math.Ceil(account.demand*demandSteps) / demandSteps
 		}
 	}
 	return report
@@ -175,9 +182,16 @@
 func (purse *Purse) Accept(sent, now time.Time, grant Grant) {
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
-	purse.parts, purse.number = grant.Parts, grant.Number
-	purse.until = sent.Add(grant.Term)
 	purse.reached = now
+	purse.asked = grant.Unknown
+	if grant.Unknown {
+		return
+	}
+	if grant.Parts != nil {
+		purse.parts = grant.Parts
+	}
+	purse.number = grant.Number
+	purse.until = sent.Add(grant.Term)
 	for workspace, tokens := range grant.Lent {
 		purse.account(workspace, now).lend(now, tokens)
 	}
