--- a/internal/base/conf/conf.go
+++ b/internal/base/conf/conf.go
@@ -81,6 +81,9 @@
 	Format string `toml:"format"`
 }
 
+// mustBeSet is what is wrong with an empty field.
+const mustBeSet = "must be set"
+
 const (
 	minSecretLength = 16
 	hashBytes       = 32
@@ -167,7 +170,7 @@
 		return &fieldError{"host.name", "must be set and hold no '#', '/' or space"}
 	}
 	if settings.Host.DataCentre == "" {
-		return &fieldError{"host.dataCentre", "must be set"}
+		return &fieldError{"host.dataCentre", mustBeSet}
 	}
 	return nil
 }
@@ -221,7 +224,7 @@
 
 func (settings Settings) checkSecret() *fieldError {
 	if settings.Peer.SecretFile == "" {
-		return &fieldError{"peer.secretFile", "must be set"}
+		return &fieldError{"peer.secretFile", mustBeSet}
 	}
 	if _, err := ReadSecret(settings.Peer.SecretFile); err != nil {
 		return &fieldError{"peer.secretFile", err.Error()}
--- a/internal/base/conf/direct.go
+++ b/internal/base/conf/direct.go
@@ -122,10 +122,10 @@
 
 func (direct *Direct) check() *fieldError {
 	if direct.Host.Name == "" {
-		return &fieldError{"host.name", "must be set"}
+		return &fieldError{"host.name", mustBeSet}
 	}
 	if direct.Host.DataCentre == "" {
-		return &fieldError{"host.dataCentre", "must be set"}
+		return &fieldError{"host.dataCentre", mustBeSet}
 	}
 	if !usable(direct.Peer.Address) || direct.Peer.Address.Addr().IsUnspecified() {
 		return &fieldError{"peer.address", "must be an IP address and a port that other hosts reach"}
--- a/internal/control/items/view.go
+++ b/internal/control/items/view.go
@@ -23,8 +23,11 @@
 	Configured bool
 }
 
+// DefaultBodyBytes bounds a request's body where no limit is in force.
+const DefaultBodyBytes = 64 << 20 //nolint:mnd // 64 MiB
+
 // defaultLimits bound callers where no limits are in force.
-var defaultLimits = Limits{HeadBytes: 16 << 10, BodyBytes: 64 << 20}
+var defaultLimits = Limits{HeadBytes: 16 << 10, BodyBytes: DefaultBodyBytes}
 
 // View returns the finder of the set's items.
 func (set Set) View() *View {
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -97,7 +97,7 @@
 		owned: map[spans.Owner]float64{}, nextBeat: map[spans.Owner]time.Duration{},
 	}
 	instances := catalog.InstancesOf(service)
-	slices.SortFunc(instances, func(left, right state.Instance) int { return compareInstances(left, right) })
+	slices.SortFunc(instances, compareInstances)
 	warm := slices.ContainsFunc(instances, func(instance state.Instance) bool {
 		return catalog.Wanted(instance) && !instance.Cold && !instance.Silent
 	})
--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -101,8 +101,8 @@
 	// unsettled are spans that their owner does not serve at the moment, by first
 	// key.
 	unsettled map[uint16]unsettled
-	waiters  []*waiter
-	retries  float64
+	waiters   []*waiter
+	retries   float64
 }
 
 // Board keeps account of all upstreams and of the requests that wait for them.
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -26,9 +27,11 @@
 	header.Set("Content-Length", "0")
 	visit.writer.WriteHeader(refused.status)
 	relay.Stats.Refused(refused.reason, "notRun")
-	visit.note("the request is refused", nil, log.Fields{
+	fields := log.Fields{
 		"status": refused.status, "reason": refused.reason, "retryAfter": refused.retryAfter.String(),
-	})
+	}
+	maps.Copy(fields, refused.inputs)
+	visit.note("the request is refused", nil, fields)
 }
 
 // seconds writes a duration in seconds, rounded up to milliseconds.
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -134,7 +134,6 @@
 	// mayHaveRun is set once an upstream may have begun the request.
 	mayHaveRun bool
 	tried      []string
-	logged     bool
 }
 
 // ServeHTTP answers one request.
@@ -163,19 +162,21 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// inputs are what decided it, for the log.
+	inputs log.Fields
 }
 
 // admit finds the route and the workspace, and takes a token of its rate.
 func (visit *visit) admit() *refusal {
 	relay, view := visit.relay, visit.belief.View
 	if !view.Configured {
-		return &refusal{http.StatusServiceUnavailable, "notConfigured", hostRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "notConfigured", retryAfter: hostRetryAfter}
 	}
 	age := visit.arrived.Sub(visit.belief.ConfirmedAt)
 	route, ok := view.Route(hostOf(visit.request.Host), visit.request.URL.Path)
 	if !ok {
 		if age > relay.MaxAge {
-			return &refusal{http.StatusServiceUnavailable, "configurationTooOld", hostRetryAfter}
+			return tooOld(age)
 		}
 		return &refusal{status: http.StatusNotFound, reason: "noRoute"}
 	}
@@ -203,7 +204,7 @@
 func (visit *visit) identify(age time.Duration) *refusal {
 	relay := visit.relay
 	if age > relay.MaxAge {
-		return &refusal{http.StatusServiceUnavailable, "configurationTooOld", hostRetryAfter}
+		return tooOld(age)
 	}
 	name, workspace, known := visit.belief.View.KeyOwner(visit.caller.Key)
 	if !known {
@@ -214,11 +215,21 @@
 	rate := share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
 	wait, ok := relay.Purse.Take(visit.request.Context(), visit.arrived, name, rate)
 	if !ok {
-		return &refusal{http.StatusTooManyRequests, "overRate", wait}
+		return &refusal{
+			status: http.StatusTooManyRequests, reason: "overRate", retryAfter: wait,
+			inputs: log.Fields{"rate": rate.PerSecond, "burst": rate.Burst},
+		}
 	}
 	return nil
 }
 
+func tooOld(age time.Duration) *refusal {
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "configurationTooOld", retryAfter: hostRetryAfter,
+		inputs: log.Fields{"age": age.String()},
+	}
+}
+
 func hostOf(host string) string {
 	for position := range len(host) {
 		if host[position] == ':' {
@@ -247,7 +258,7 @@
 func (visit *visit) readBody() *refusal {
 	limit := visit.belief.View.Limits().BodyBytes
 	if limit <= 0 {
-		limit = 64 << 20
+		limit = items.DefaultBodyBytes
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(visit.writer, visit.request.Body, limit))
 	var tooLong *http.MaxBytesError
@@ -381,5 +392,7 @@
 		visit.fail(string(refused.Reason))
 		return
 	}
-	visit.refuse(refusal{http.StatusServiceUnavailable, string(refused.Reason), refused.RetryAfter})
+	visit.refuse(refusal{
+		status: http.StatusServiceUnavailable, reason: string(refused.Reason), retryAfter: refused.RetryAfter,
+	})
 }
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -120,7 +120,7 @@
 
 func (control *Control) listen(handler http.Handler) error {
 	var err error
-	control.server, err = serveHTTP(control.options.Settings.Listen.Control, handler, control.options.Log, controlIdle)
+	control.server, err = serveHTTP(control.options.Settings.Listen.Control, handler, control.options.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -128,10 +128,10 @@
 func (entry *Entry) listen() error {
 	settings, logger := entry.options.Settings, entry.options.Log
 	var err error
-	if entry.callers, err = serveHTTP(settings.Listen.Callers, entry.relay, logger, callerIdle); err != nil {
+	if entry.callers, err = serveHTTP(settings.Listen.Callers, entry.relay, logger); err != nil {
 		return err
 	}
-	if entry.health, err = serveHTTP(settings.Listen.Health, http.HandlerFunc(entry.answerHealth), logger, controlIdle); err != nil {
+	if entry.health, err = serveHTTP(settings.Listen.Health, http.HandlerFunc(entry.answerHealth), logger); err != nil {
 		return err
 	}
 	entry.metrics, err = serveMetrics(entry.options)
--- a/internal/fleet/direct/http.go
+++ b/internal/fleet/direct/http.go
@@ -21,23 +21,20 @@
 	headTimeout = 5 * time.Second
 	// maxHead bounds a request's head in bytes.
 	maxHead = 64 << 10
-	// callerIdle is how long an idle connection of a caller is kept. It is longer
-	// than the idle time that operators announce to callers.
-	callerIdle = 30 * time.Second
-	// controlIdle is how long an idle connection of an upstream or operator is
-	// kept.
-	controlIdle = 30 * time.Second
+	// idleTimeout is how long an idle connection is kept. It is longer than the idle
+	// time that operators announce to callers.
+	idleTimeout = 30 * time.Second
 )
 
 // serveHTTP listens on the address and serves until the server is closed.
-func serveHTTP(address string, handler http.Handler, logger log.Interface, idle time.Duration) (*http.Server, error) {
+func serveHTTP(address string, handler http.Handler, logger log.Interface) (*http.Server, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, Error.New("listen on %s: %w", address, err)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: idle, MaxHeaderBytes: maxHead,
+		Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 	go func() {
@@ -57,7 +54,7 @@
 	handler.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		options.Stats.Write(writer)
 	})
-	return serveHTTP(options.Settings.Listen.Metrics, handler, options.Log, controlIdle)
+	return serveHTTP(options.Settings.Listen.Metrics, handler, options.Log)
 }
 
 // follow reads the settings again while the process runs, and learns of new
