Give permits for keyed requests from one primary an upstream

Cause: twelve hosts that do not see each other queue up to ten requests at one upstream, first come first served, and learn of a full queue by being shed.

Change: the entry host asks the upstream's primary, an entry host of its data centre by rendezvous hashing, over a link; requests go straight to the upstream.

--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -34,6 +34,10 @@
 type Entry struct {
 	Name       string
 	DataCentre string
+	// Peer is where the host takes links of other entry hosts.
+	Peer netip.AddrPort
+	// Draining is set while the host shuts down.
+	Draining bool
 }
 
 // ControlHost is a control host and its place.
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -35,7 +35,7 @@
 	forgetAfter = 20 * time.Second
 	// entryForgetAfter is the time without a poll after which an entry host is
 	// dropped. It is longer than its parts of rates count.
-	entryForgetAfter = 15 * time.Second
+	entryForgetAfter = 6 * time.Second
 	// staleGrant is the time after which an upstream takes no late answer to a
 	// heartbeat: it waits a second for one.
 	staleGrant = 1200 * time.Millisecond
--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -22,6 +22,11 @@
 	leastWorkTenths = 6
 	// leastRetryAfter is the shortest time after which callers are told to return.
 	leastRetryAfter = 100 * time.Millisecond
+	// ownerPoll is how often a request whose key has no owner looks again.
+	ownerPoll = 30 * time.Millisecond
+	// ownerRetryAfter is when callers may return whose key had no owner: about the
+	// time between two heartbeats of an upstream.
+	ownerRetryAfter = 400 * time.Millisecond
 	// misplacedPause is how long keys wait that their owner did not hold.
 	misplacedPause = 150 * time.Millisecond
 	// maxQueue bounds the requests that wait at one host for one service.
@@ -54,8 +59,8 @@
 	// Priority orders the requests that wait; 0 is the most urgent.
 	Priority int
 	Deadline time.Time
-	// Avoid are upstreams that were tried before.
-	Avoid []spans.Owner
+	// Owner names the upstream itself where it is set.
+	Owner spans.Owner
 }
 
 // Refusal says why there is no upstream, and when to come back.
@@ -103,12 +108,16 @@
 	unsettled map[uint16]unsettled
 	waiters   []*waiter
 	retries   float64
+	// changed is closed when targets or owners change.
+	changed chan struct{}
 }
 
 // Board keeps account of all upstreams and of the requests that wait for them.
 type Board struct {
 	dataCentre string
-	clock      clockwork.Clock
+	// exact boards see all requests to their upstreams, so that windows are fixed.
+	exact bool
+	clock clockwork.Clock
 
 	mutex    sync.Mutex
 	services map[string]*service
@@ -124,6 +133,14 @@
 	}
 }
 
+// NewExact returns the empty board of the primary of some upstreams, through
+// which all requests to them go.
+func NewExact(clock clockwork.Clock, seed uint64) *Board {
+	board := NewBoard("", clock, seed)
+	board.exact = true
+	return board
+}
+
 // Update takes over the targets of a service and the owners of its keys.
 func (board *Board) Update(name string, targets []Target, table spans.Table) {
 	board.mutex.Lock()
@@ -139,18 +156,45 @@
 		if ok {
 			entry.retarget(target, now)
 		} else {
-			entry = newUpstream(target, now)
+			entry = newUpstream(target, now, board.exact)
 		}
 		present[target.Owner] = entry
 	}
 	known.upstreams = present
+	close(known.changed)
+	known.changed = make(chan struct{})
 	board.pump(known, now)
 }
 
+// Owner returns the upstream that owns the key asked for, as soon as it serves
+// it, and a channel that closes when that may have changed.
+func (board *Board) Owner(ctx context.Context, ask Ask) (Target, <-chan struct{}, *Refusal) {
+	timer := board.clock.NewTimer(ask.Deadline.Sub(board.clock.Now()) - board.leastWork(ask.Service))
+	defer timer.Stop()
+	for {
+		board.mutex.Lock()
+		known := board.service(ask.Service)
+		entry, changed := board.candidate(known, ask, board.clock.Now(), false), known.changed
+		board.mutex.Unlock()
+		if entry != nil {
+			return entry.target, changed, nil
+		}
+		select {
+		case <-changed:
+		case <-board.clock.After(ownerPoll):
+		case <-ctx.Done():
+			return Target{}, nil, &Refusal{Reason: ReasonCallerLeft, RetryAfter: leastRetryAfter}
+		case <-timer.Chan():
+			return Target{}, nil, &Refusal{Reason: ReasonNoOwner, RetryAfter: ownerRetryAfter}
+		}
+	}
+}
+
 func (board *Board) service(name string) *service {
 	known, ok := board.services[name]
 	if !ok {
 		known = &service{
+			changed:   make(chan struct{}),
 			upstreams: map[spans.Owner]*upstream{}, unsettled: map[uint16]unsettled{}, retries: retryBurst,
 		}
 		board.services[name] = known
@@ -161,25 +205,61 @@
 // Acquire returns a ticket, at once or after a wait, or a refusal. A request
 // that surely can't be served in time is refused at once.
 func (board *Board) Acquire(ctx context.Context, ask Ask) (*Ticket, *Refusal) {
-	waiting, refusal := board.enqueue(ask)
+	waiting, refusal := board.Enqueue(ask)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return waiting.Wait(ctx)
+}
+
+// Waiting is a request's place in the queue.
+type Waiting struct {
+	board  *Board
+	waiter *waiter
+}
+
+// Enqueue takes the request in, or refuses it at once.
+func (board *Board) Enqueue(ask Ask) (*Waiting, *Refusal) {
+	waiter, refusal := board.enqueue(ask)
 	if refusal != nil {
 		return nil, refusal
 	}
+	return &Waiting{board: board, waiter: waiter}, nil
+}
+
+// Given returns the ticket if the request has got one, else nil. A ticket is
+// returned once.
+func (waiting *Waiting) Given() *Ticket {
 	select {
-	case ticket := <-waiting.given:
-		return ticket, nil
+	case ticket := <-waiting.waiter.given:
+		return ticket
 	default:
+		return nil
+	}
+}
+
+// Withdraw gives up the place, and returns the ticket if there was one already.
+func (waiting *Waiting) Withdraw() *Ticket {
+	ticket, _ := waiting.board.withdraw(waiting.waiter, ReasonCallerLeft)
+	return ticket
+}
+
+// Wait waits for the ticket until it would come too late.
+func (waiting *Waiting) Wait(ctx context.Context) (*Ticket, *Refusal) {
+	if ticket := waiting.Given(); ticket != nil {
+		return ticket, nil
 	}
+	board, ask := waiting.board, waiting.waiter.ask
 	timer := board.clock.NewTimer(ask.Deadline.Sub(board.clock.Now()) - board.leastWork(ask.Service))
 	defer timer.Stop()
 	for {
 		select {
-		case ticket := <-waiting.given:
+		case ticket := <-waiting.waiter.given:
 			return ticket, nil
 		case <-ctx.Done():
-			return board.withdraw(waiting, ReasonCallerLeft)
+			return board.withdraw(waiting.waiter, ReasonCallerLeft)
 		case <-timer.Chan():
-			return board.withdraw(waiting, ReasonWaited)
+			return board.withdraw(waiting.waiter, ReasonWaited)
 		case <-board.clock.After(shedPause):
 			board.mutex.Lock()
 			board.pump(board.service(ask.Service), board.clock.Now())
@@ -216,11 +296,12 @@
 // hopeless refuses a request whose turn would come too late.
 func (board *Board) hopeless(known *service, ask Ask, now time.Time) *Refusal {
 	left := ask.Deadline.Sub(now)
-	window, work, ahead := 0.0, time.Duration(0), 0
-	owner := known.table.Find(ask.Key).Owner
+	window, free, work, ahead := 0.0, 0.0, time.Duration(0), 0
+	owner := known.ownerOf(ask)
 	for id, entry := range known.upstreams {
 		if !ask.Keyed && !entry.target.Leaving || ask.Keyed && id == owner {
-			window += max(1, entry.window) - float64(entry.running)
+			window += max(1, entry.window)
+			free += max(1, entry.window) - float64(entry.running)
 			work = max(work, entry.typical)
 		}
 	}
@@ -228,21 +309,28 @@
 		if other.ask.Priority > ask.Priority {
 			break
 		}
-		if !ask.Keyed || other.ask.Keyed && known.table.Find(other.ask.Key).Owner == owner {
+		if !ask.Keyed || other.ask.Keyed && known.ownerOf(other.ask) == owner {
 			ahead++
 		}
 	}
-	if work == 0 || float64(ahead) < window {
+	if work == 0 || float64(ahead) < free {
 		return nil
 	}
-	slots := max(1, window)
-	wait := time.Duration(float64(work) * (float64(ahead) - window + 1) / slots)
+	wait := time.Duration(float64(work) * (float64(ahead) - free + 1) / window)
 	if wait+work*leastWorkTenths/10 <= left {
 		return nil
 	}
 	return &Refusal{Reason: ReasonHopeless, RetryAfter: max(leastRetryAfter, wait+work-left)}
 }
 
+// ownerOf returns the upstream that a keyed request is for.
+func (service *service) ownerOf(ask Ask) spans.Owner {
+	if ask.Owner != (spans.Owner{}) {
+		return ask.Owner
+	}
+	return service.table.Find(ask.Key).Owner
+}
+
 // leastWork is the time that must be left for a request to be worth sending.
 func (board *Board) leastWork(name string) time.Duration {
 	board.mutex.Lock()
@@ -300,14 +388,14 @@
 // that is expected to answer first. With open set it must have room now.
 func (board *Board) candidate(known *service, ask Ask, now time.Time, open bool) *upstream {
 	if ask.Keyed {
-		return ownerOf(known, ask, now, open)
+		return known.owner(ask, now, open)
 	}
 	var best *upstream
 	var bestCost time.Duration
 	warm := known.has(func(entry *upstream) bool { return !entry.target.Cold && !entry.target.Leaving })
 	for _, entry := range known.upstreams {
 		target := entry.target
-		if target.Leaving || warm && target.Cold || slices.Contains(ask.Avoid, target.Owner) {
+		if target.Leaving || warm && target.Cold {
 			continue
 		}
 		if open && !entry.open(now) {
@@ -324,11 +412,14 @@
 	return best
 }
 
-func ownerOf(known *service, ask Ask, now time.Time, open bool) *upstream {
-	span := known.table.Find(ask.Key)
-	entry, ok := known.upstreams[span.Owner]
-	if mark, ok := known.unsettled[span.From]; ok && mark.fence == span.Fence && now.Before(mark.until) {
-		return nil
+// owner returns the upstream that owns the key asked for, if it serves it.
+func (service *service) owner(ask Ask, now time.Time, open bool) *upstream {
+	entry, ok := service.upstreams[service.ownerOf(ask)]
+	if ask.Owner == (spans.Owner{}) {
+		span := service.table.Find(ask.Key)
+		if mark, marked := service.unsettled[span.From]; marked && mark.fence == span.Fence && now.Before(mark.until) {
+			return nil
+		}
 	}
 	switch {
 	case !ok, entry.target.Leaving && now.After(entry.target.LeaveBy), open && !entry.open(now):
@@ -366,9 +457,7 @@
 		return
 	}
 	entry.running--
-	if load != nil {
-		entry.load, entry.loadAt = *load, now
-	}
+	entry.noteLoad(now, load)
 	switch result {
 	case ResultAnswered:
 		entry.answered(now, now.Sub(ticket.began), load)
@@ -433,6 +522,24 @@
 	return report
 }
 
+// Misplaced notes that the owner of a key turned out not to hold it.
+func (board *Board) Misplaced(ask Ask, owner spans.Owner) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	known := board.service(ask.Service)
+	known.misplaced(&Ticket{Target: Target{Owner: owner}, ask: ask}, board.clock.Now())
+}
+
+// Learn notes how a request ended for which another board had given the ticket.
+func (board *Board) Learn(owner spans.Owner, name string, took time.Duration, load *Load) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if entry, ok := board.service(name).upstreams[owner]; ok {
+		entry.answered(board.clock.Now(), took, load)
+		entry.noteLoad(board.clock.Now(), load)
+	}
+}
+
 // Count counts a request for a service towards the budget of repeats.
 func (board *Board) Count(name string) {
 	board.mutex.Lock()
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -12,6 +12,9 @@
 	// an upstream, per slot of the upstream.
 	firstWindow = 2.0
 	maxWindow   = 3.0
+	// exactSpare is the number of requests that wait at an upstream itself, so that
+	// its slots do not idle while the next request is on its way.
+	exactSpare = 1.0
 	// windowShrink is what is left of the window after an upstream shed a request.
 	windowShrink = 0.7
 	// windowGrow is added to the window by an answer.
@@ -64,7 +67,9 @@
 
 // upstream is what this host knows of a target.
 type upstream struct {
-	target  Target
+	target Target
+	// exact is set where all requests to the upstream are known here.
+	exact   bool
 	running int
 	window  float64
 	typical time.Duration
@@ -82,9 +87,18 @@
 	workCount int
 }
 
-func newUpstream(target Target, now time.Time) *upstream {
-	return &upstream{
-		target: target, window: firstWindow * float64(max(1, target.Slots)), typical: firstTypical, coldAt: now,
+func newUpstream(target Target, now time.Time, exact bool) *upstream {
+	window := firstWindow * float64(max(1, target.Slots))
+	if exact {
+		window = float64(max(1, target.Slots)) + exactSpare
+	}
+	return &upstream{target: target, exact: exact, window: window, typical: firstTypical, coldAt: now}
+}
+
+// noteLoad notes what the upstream said of itself, if it did.
+func (upstream *upstream) noteLoad(now time.Time, load *Load) {
+	if load != nil {
+		upstream.load, upstream.loadAt = *load, now
 	}
 }
 
@@ -138,9 +152,11 @@
 	upstream.pause, upstream.pausedUntil = 0, time.Time{}
 	upstream.typical += (took - upstream.typical) * typicalTenths / 10
 	slots := max(1, upstream.target.Slots)
-	if load != nil && load.Waiting > slots {
+	switch {
+	case upstream.exact:
+	case load != nil && load.Waiting > slots:
 		upstream.window = max(1, upstream.window-windowYield)
-	} else {
+	default:
 		upstream.window = min(upstream.window+windowGrow, maxWindow*float64(slots))
 	}
 	upstream.noteWork(took, load)
@@ -160,7 +176,9 @@
 // shed notes that the upstream had no room.
 func (upstream *upstream) shed(now time.Time) {
 	upstream.answeredAt = now
-	upstream.window = max(1, upstream.window*windowShrink)
+	if !upstream.exact {
+		upstream.window = max(1, upstream.window*windowShrink)
+	}
 	upstream.pausedUntil = now.Add(shedPause)
 }
 
--- /dev/null
+++ b/internal/dispatch/permit/primary.go
@@ -0,0 +1,174 @@
+package permit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
+)
+
+const (
+	// permitSlack is how long after its deadline a permit that was not given back
+	// is taken back.
+	permitSlack = 300 * time.Millisecond
+	// sweepEvery is how often lost permits are looked for.
+	sweepEvery = time.Second
+)
+
+// entry is a permit that was asked for.
+type entry struct {
+	waiting *admit.Waiting
+	ticket  *admit.Ticket
+	// until is when the permit is taken back.
+	until time.Time
+}
+
+// Primary gives out permits for the upstreams whose primary this host is. Other
+// hosts ask it over links.
+type Primary struct {
+	board *admit.Board
+	clock clockwork.Clock
+	log   log.Interface
+
+	mutex   sync.Mutex
+	next    uint64
+	entries map[uint64]*entry
+	sweptAt time.Time
+}
+
+// NewPrimary returns a primary that gives out the board's tickets.
+func NewPrimary(board *admit.Board, clock clockwork.Clock, logger log.Interface) *Primary {
+	return &Primary{board: board, clock: clock, log: logger, entries: map[uint64]*entry{}}
+}
+
+// Serve answers a request of another host.
+func (primary *Primary) Serve(ctx context.Context, request links.Payload) links.Payload {
+	reply, err := primary.answer(ctx, request)
+	if err != nil {
+		primary.log.WithError(err).Warn(logPrefix + "a request of another host can't be answered")
+		return links.Payload{Kind: kindUnknown}
+	}
+	return reply
+}
+
+func (primary *Primary) answer(ctx context.Context, request links.Payload) (links.Payload, error) {
+	switch request.Kind {
+	case kindAsk:
+		var message askMessage
+		if err := codec.Unmarshal(request.Head, &message); err != nil {
+			return links.Payload{}, Error.New("decode question: %w", err)
+		}
+		return primary.ask(message)
+	case kindAwait:
+		var message awaitMessage
+		if err := codec.Unmarshal(request.Head, &message); err != nil {
+			return links.Payload{}, Error.New("decode wait: %w", err)
+		}
+		return primary.await(ctx, message.Number)
+	case kindDone:
+		var message doneMessage
+		if err := codec.Unmarshal(request.Head, &message); err != nil {
+			return links.Payload{}, Error.New("decode end: %w", err)
+		}
+		primary.done(message)
+		return links.Payload{Kind: kindTaken}, nil
+	default:
+		return links.Payload{}, Error.New("request %q is not known", request.Kind)
+	}
+}
+
+// ask answers at once: with a permit, a place in the queue, or a refusal.
+func (primary *Primary) ask(message askMessage) (links.Payload, error) {
+	now := primary.clock.Now()
+	deadline := now.Add(message.Left)
+	waiting, refusal := primary.board.Enqueue(admit.Ask{
+		Service: message.Service, Keyed: true, Owner: message.owner(), Priority: message.Priority, Deadline: deadline,
+	})
+	if refusal != nil {
+		return refuse(refusal)
+	}
+	held := &entry{waiting: waiting, until: deadline.Add(permitSlack)}
+	number := primary.enter(held, now)
+	if ticket := waiting.Given(); ticket != nil {
+		held.ticket = ticket
+		return payload(kindGranted, grantMessage{Number: number})
+	}
+	return payload(kindQueued, grantMessage{Number: number})
+}
+
+func refuse(refusal *admit.Refusal) (links.Payload, error) {
+	return payload(kindRefused, refuseMessage{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter})
+}
+
+// enter remembers a permit, and takes back those that were lost.
+func (primary *Primary) enter(held *entry, now time.Time) uint64 {
+	primary.mutex.Lock()
+	defer primary.mutex.Unlock()
+	primary.next++
+	primary.entries[primary.next] = held
+	if now.Sub(primary.sweptAt) > sweepEvery {
+		primary.sweptAt = now
+		for number, old := range primary.entries {
+			if now.After(old.until) {
+				delete(primary.entries, number)
+				go old.abandon()
+			}
+		}
+	}
+	return primary.next
+}
+
+// abandon gives up a permit that nobody gave back.
+func (entry *entry) abandon() {
+	if entry.ticket == nil {
+		entry.ticket = entry.waiting.Withdraw()
+	}
+	if entry.ticket != nil {
+		entry.ticket.Done(admit.ResultLeft, nil)
+	}
+}
+
+// await waits until a queued permit is granted or refused. A host that cancels
+// or is lost gives up its place.
+func (primary *Primary) await(ctx context.Context, number uint64) (links.Payload, error) {
+	primary.mutex.Lock()
+	held, ok := primary.entries[number]
+	primary.mutex.Unlock()
+	if !ok {
+		return refuse(&admit.Refusal{Reason: admit.ReasonWaited})
+	}
+	ticket, refusal := held.waiting.Wait(ctx)
+	if refusal != nil {
+		primary.forget(number)
+		return refuse(refusal)
+	}
+	primary.mutex.Lock()
+	held.ticket = ticket
+	primary.mutex.Unlock()
+	if ctx.Err() != nil {
+		primary.done(doneMessage{Number: number, Result: admit.ResultLeft})
+	}
+	return payload(kindGranted, grantMessage{Number: number})
+}
+
+func (primary *Primary) forget(number uint64) *entry {
+	primary.mutex.Lock()
+	defer primary.mutex.Unlock()
+	held := primary.entries[number]
+	delete(primary.entries, number)
+	return held
+}
+
+// done takes a permit back.
+func (primary *Primary) done(message doneMessage) {
+	held := primary.forget(message.Number)
+	if held != nil && held.ticket != nil {
+		held.ticket.Done(message.Result, decodeLoad(message.Load))
+	}
+}
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 )
 
@@ -55,7 +56,7 @@
 }
 
 // deliver hands the upstream's answer to the caller, unchanged.
-func (visit *visit) deliver(response *pool.Response, ticket *admit.Ticket) {
+func (visit *visit) deliver(response *pool.Response, ticket *permit.Permit) {
 	header := visit.writer.Header()
 	for name, values := range pool.EndToEnd(response.Header) {
 		header[name] = values
@@ -75,7 +76,7 @@
 }
 
 // note logs one decision on the request, with what it was based on.
-func (visit *visit) note(message string, ticket *admit.Ticket, fields log.Fields) {
+func (visit *visit) note(message string, ticket *permit.Permit, fields log.Fields) {
 	now := visit.relay.Clock.Now()
 	line := log.Fields{
 		"request": visit.caller.ID, "route": visit.route.Name, "service": visit.service, "workspace": visit.workspace,
@@ -85,7 +86,7 @@
 		line["key"] = visit.caller.Shard
 	}
 	if ticket != nil {
-		line["upstream"] = ticket.Target.Owner.ID
+		line["upstream"], line["permitFrom"] = ticket.Target.Owner.ID, ticket.Source
 	}
 	for name, value := range fields {
 		line[name] = value
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -18,6 +18,7 @@
 	"damaskcrank.example/damaskcrank/internal/base/stats"
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
 )
@@ -96,6 +97,7 @@
 type Relay struct {
 	Protocol Protocol
 	Board    *admit.Board
+	Desk     *permit.Desk
 	Pool     *pool.Pool
 	Purse    *share.Purse
 	// Belief returns the present configuration.
@@ -295,7 +297,7 @@
 	if service.Keyed && visit.sends == 0 && visit.caller.HasShard {
 		relay.Asked(visit.service, visit.caller.Shard)
 	}
-	ticket, refused := relay.Board.Acquire(ctx, ask)
+	ticket, refused := relay.Desk.Acquire(ctx, ask)
 	if refused != nil {
 		visit.giveUp(refused)
 		return false
@@ -321,7 +323,7 @@
 
 // send sends the request once. A request that must not be cut short goes on
 // after its caller has left.
-func (visit *visit) send(ctx context.Context, ticket *admit.Ticket) (*pool.Response, *pool.SendError) {
+func (visit *visit) send(ctx context.Context, ticket *permit.Permit) (*pool.Response, *pool.SendError) {
 	relay := visit.relay
 	if !visit.route.Idempotent {
 		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadlineOf(ctx))
@@ -345,7 +347,7 @@
 }
 
 // afterFailure decides whether a request that got no answer is sent again.
-func (visit *visit) afterFailure(ctx context.Context, ticket *admit.Ticket, failure *pool.SendError) bool {
+func (visit *visit) afterFailure(ctx context.Context, ticket *permit.Permit, failure *pool.SendError) bool {
 	if visit.request.Context().Err() != nil {
 		ticket.Done(admit.ResultLeft, nil)
 	} else {
@@ -370,7 +372,7 @@
 
 // repeat tells whether the request may be sent once more, and answers it if
 // not.
-func (visit *visit) repeat(reason string, ticket *admit.Ticket) bool {
+func (visit *visit) repeat(reason string, ticket *permit.Permit) bool {
 	relay := visit.relay
 	visit.tried = append(visit.tried, ticket.Target.Owner.ID)
 	if !relay.Board.MayRepeat(visit.service) {
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,9 +15,11 @@
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/control/steer"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/entry/relay"
 	"damaskcrank.example/damaskcrank/internal/peer/fetch"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
 )
@@ -49,6 +53,11 @@
 	client   *group.Client
 	follower *fetch.Follower
 	board    *admit.Board
+	exact    *admit.Board
+	desk     *permit.Desk
+	primary  *permit.Primary
+	links    *links.Client
+	server   *links.Server
 	pool     *pool.Pool
 	purse    *share.Purse
 	relay    *relay.Relay
@@ -90,12 +99,17 @@
 		leaving: map[string]time.Time{}, known: map[netip.AddrPort]bool{},
 		client: group.NewClient(settings.ControlHosts(), trust.Secret(settings.Peer.Secret)),
 		board:  admit.NewBoard(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
+		exact:  admit.NewExact(options.Clock, rand.Uint64()),                           //nolint:gosec // spreads load
 		pool:   &pool.Pool{Belongs: belongs, Clock: options.Clock},
 	}
+	if err := entry.link(); err != nil {
+		entry.Kill()
+		return nil, err
+	}
 	entry.purse.Borrow = entry.borrow
 	entry.follower = fetch.NewFollower(entry.client, entry.leaderIndex.Load, options.Log)
 	entry.relay = &relay.Relay{
-		Protocol: protocol, Board: entry.board, Pool: entry.pool, Purse: entry.purse, Belief: entry.belief,
+		Protocol: protocol, Board: entry.board, Desk: entry.desk, Pool: entry.pool, Purse: entry.purse, Belief: entry.belief,
 		MaxAge: entry.maxAge(), Asked: entry.noteKey, Draining: entry.draining.Load, Clock: options.Clock,
 		Log: options.Log, Stats: options.Stats,
 	}
@@ -113,6 +127,23 @@
 	return entry, nil
 }
 
+// link opens the links to other entry hosts, for permits.
+func (entry *Entry) link() error {
+	settings, secret := entry.options.Settings, trust.Secret(entry.options.Settings.Peer.Secret)
+	var err error
+	if entry.links, err = links.NewClient(secret, func(netip.AddrPort, []byte) {}); err != nil {
+		return Error.New("start links: %w", err)
+	}
+	entry.primary = permit.NewPrimary(entry.exact, entry.options.Clock, entry.options.Log)
+	entry.desk = permit.NewDesk(settings.Host.Name, entry.board, entry.exact, entry.links, entry.options.Clock, entry.options.Log)
+	noDatagram := func([]byte) []byte { return nil }
+	entry.server, err = links.Listen(settings.Peer.Address, secret, entry.primary.Serve, noDatagram, entry.options.Log)
+	if err != nil {
+		return Error.New("take links: %w", err)
+	}
+	return nil
+}
+
 func (entry *Entry) maxAge() time.Duration {
 	return max(time.Second, time.Duration(entry.options.Settings.Bounds.Revoke)-confirmMargin)
 }
@@ -202,7 +233,10 @@
 	entry.mutex.Unlock()
 	sent := entry.options.Clock.Now()
 	args := steer.PollArgs{
-		Entry:  state.Entry{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre},
+		Entry: state.Entry{
+			Name: settings.Host.Name, DataCentre: settings.Host.DataCentre, Peer: settings.Peer.Address,
+			Draining: entry.draining.Load(),
+		},
 		Report: entry.purse.Report(sent, settings.Host.Name), Keys: keys, Work: map[string]steer.Work{},
 		Members: entry.members,
 	}
@@ -308,9 +342,14 @@
 		}
 		targets[instance.Service] = append(targets[instance.Service], target)
 	}
-	for name := range catalog.View().Services() {
+	for name, service := range catalog.View().Services() {
 		entry.board.Update(name, targets[name], catalog.Spans[name])
+		for position := range targets[name] {
+			targets[name][position].ColdPerSecond = service.ColdPerSecond
+		}
+		entry.exact.Update(name, targets[name], catalog.Spans[name])
 	}
+	entry.desk.Update(slices.Collect(maps.Values(catalog.Entries)))
 	entry.leaving = leaving
 	for address := range entry.known {
 		if !present[address] {
@@ -351,6 +390,12 @@
 			_ = server.Close()
 		}
 	}
+	if entry.server != nil {
+		_ = entry.server.Close()
+	}
+	if entry.links != nil {
+		_ = entry.links.Close()
+	}
 	entry.client.Close()
 	entry.pool.Close()
 	entry.tasks.Wait()
