Refuse early under overload, and recover faster

Cause: under overload requests waited until nearly their deadline and were then run in vain; tokens lent ahead piled up at hosts while other hosts refused within the rate; after a loss of all hosts, entry hosts refused until the control group stood 1.4 s later; keys of a crashed upstream had no owner for over 4 s.

Ruled out: longer queues; useful answers fell as the share of late ones grew.

--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -29,6 +29,8 @@
 	ownerRetryAfter = 400 * time.Millisecond
 	// misplacedPause is how long keys wait that their owner did not hold.
 	misplacedPause = 150 * time.Millisecond
+	// overloadMemory is how long a refusal counts as a sign of overload.
+	overloadMemory = time.Second
 	// maxQueue bounds the requests that wait at one host for one service.
 	maxQueue = 512
 	// retryRatio is the part of requests that may be sent once more.
@@ -58,6 +60,9 @@
 	Key   uint16
 	// Priority orders the requests that wait; 0 is the most urgent.
 	Priority int
+	// Goal is when an answer begins to be worth less, Deadline when it is worth
+	// nothing.
+	Goal     time.Time
 	Deadline time.Time
 	// Owner names the upstream itself where it is set.
 	Owner spans.Owner
@@ -96,7 +101,13 @@
 type waiter struct {
 	ask     Ask
 	arrived uint64
-	given   chan *Ticket
+	outcome chan outcome
+}
+
+// outcome is a ticket or a refusal.
+type outcome struct {
+	ticket  *Ticket
+	refusal *Refusal
 }
 
 // service is what the board knows of one service.
@@ -108,6 +119,8 @@
 	unsettled map[uint16]unsettled
 	waiters   []*waiter
 	retries   float64
+	// overloadedAt is when a request was last refused for a long queue.
+	overloadedAt time.Time
 	// changed is closed when targets or owners change.
 	changed chan struct{}
 }
@@ -227,14 +240,14 @@
 	return &Waiting{board: board, waiter: waiter}, nil
 }
 
-// Given returns the ticket if the request has got one, else nil. A ticket is
-// returned once.
-func (waiting *Waiting) Given() *Ticket {
+// Decided returns the ticket or the refusal if the request has got one, else
+// neither. An outcome is returned once.
+func (waiting *Waiting) Decided() (*Ticket, *Refusal) {
 	select {
-	case ticket := <-waiting.waiter.given:
-		return ticket
+	case outcome := <-waiting.waiter.outcome:
+		return outcome.ticket, outcome.refusal
 	default:
-		return nil
+		return nil, nil
 	}
 }
 
@@ -246,16 +259,16 @@
 
 // Wait waits for the ticket until it would come too late.
 func (waiting *Waiting) Wait(ctx context.Context) (*Ticket, *Refusal) {
-	if ticket := waiting.Given(); ticket != nil {
-		return ticket, nil
+	if ticket, refusal := waiting.Decided(); ticket != nil || refusal != nil {
+		return ticket, refusal
 	}
 	board, ask := waiting.board, waiting.waiter.ask
 	timer := board.clock.NewTimer(ask.Deadline.Sub(board.clock.Now()) - board.leastWork(ask.Service))
 	defer timer.Stop()
 	for {
 		select {
-		case ticket := <-waiting.waiter.given:
-			return ticket, nil
+		case outcome := <-waiting.waiter.outcome:
+			return outcome.ticket, outcome.refusal
 		case <-ctx.Done():
 			return board.withdraw(waiting.waiter, ReasonCallerLeft)
 		case <-timer.Chan():
@@ -281,7 +294,7 @@
 		return nil, refusal
 	}
 	board.arrivals++
-	waiting := &waiter{ask: ask, arrived: board.arrivals, given: make(chan *Ticket, 1)}
+	waiting := &waiter{ask: ask, arrived: board.arrivals, outcome: make(chan outcome, 1)}
 	position, _ := slices.BinarySearchFunc(known.waiters, waiting, func(left, right *waiter) int {
 		if left.ask.Priority != right.ask.Priority {
 			return left.ask.Priority - right.ask.Priority
@@ -295,16 +308,8 @@
 
 // hopeless refuses a request whose turn would come too late.
 func (board *Board) hopeless(known *service, ask Ask, now time.Time) *Refusal {
-	left := ask.Deadline.Sub(now)
-	window, free, work, ahead := 0.0, 0.0, time.Duration(0), 0
+	ahead := 0
 	owner := known.ownerOf(ask)
-	for id, entry := range known.upstreams {
-		if !ask.Keyed && !entry.target.Leaving || ask.Keyed && id == owner {
-			window += max(1, entry.window)
-			free += max(1, entry.window) - float64(entry.running)
-			work = max(work, entry.typical)
-		}
-	}
 	for _, other := range known.waiters {
 		if other.ask.Priority > ask.Priority {
 			break
@@ -313,16 +318,47 @@
 			ahead++
 		}
 	}
-	if work == 0 || float64(ahead) < free {
+	return known.tooLate(ask, ahead, now)
+}
+
+// tooLate refuses a request if so many are ahead of it that its answer would
+// come after the deadline, or, while requests are being refused anyway, after
+// the goal: an upstream that works on late answers makes all answers late.
+func (service *service) tooLate(ask Ask, ahead int, now time.Time) *Refusal {
+	wait, work := service.expectedWait(ask, ahead)
+	if wait == 0 {
 		return nil
 	}
-	wait := time.Duration(float64(work) * (float64(ahead) - free + 1) / window)
+	limit := ask.Deadline
+	if ask.Goal.Before(limit) && now.Sub(service.overloadedAt) < overloadMemory {
+		limit = ask.Goal
+	}
+	left := limit.Sub(now)
 	if wait+work*leastWorkTenths/10 <= left {
 		return nil
 	}
+	service.overloadedAt = now
 	return &Refusal{Reason: ReasonHopeless, RetryAfter: max(leastRetryAfter, wait+work-left)}
 }
 
+// expectedWait estimates how long a request waits behind others, and how long
+// the upstreams work on one. It returns no wait where there is room.
+func (service *service) expectedWait(ask Ask, ahead int) (wait, work time.Duration) {
+	window, free := 0.0, 0.0
+	owner := service.ownerOf(ask)
+	for id, entry := range service.upstreams {
+		if !ask.Keyed && !entry.target.Leaving || ask.Keyed && id == owner {
+			window += max(1, entry.window)
+			free += max(1, entry.window) - float64(entry.running)
+			work = max(work, entry.typical)
+		}
+	}
+	if work == 0 || float64(ahead) < free {
+		return 0, work
+	}
+	return time.Duration(float64(work) * (float64(ahead) - free + 1) / window), work
+}
+
 // ownerOf returns the upstream that a keyed request is for.
 func (service *service) ownerOf(ask Ask) spans.Owner {
 	if ask.Owner != (spans.Owner{}) {
@@ -353,8 +389,8 @@
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	select {
-	case ticket := <-waiting.given:
-		return ticket, nil
+	case outcome := <-waiting.outcome:
+		return outcome.ticket, outcome.refusal
 	default:
 	}
 	known := board.service(waiting.ask.Service)
@@ -368,17 +404,27 @@
 	return nil, &Refusal{Reason: reason, RetryAfter: max(leastRetryAfter, known.typical())}
 }
 
-// pump gives tickets to the requests that wait, the most urgent first.
+// pump gives tickets to the requests that wait, the most urgent first, and
+// refuses those that more urgent ones have pushed back too far.
 func (board *Board) pump(known *service, now time.Time) {
 	rest := known.waiters[:0]
+	ahead := map[spans.Owner]int{}
 	for _, waiting := range known.waiters {
-		entry := board.candidate(known, waiting.ask, now, true)
-		if entry == nil {
-			rest = append(rest, waiting)
+		if entry := board.candidate(known, waiting.ask, now, true); entry != nil {
+			entry.begin()
+			waiting.outcome <- outcome{ticket: &Ticket{Target: entry.target, ask: waiting.ask, board: board, began: now}}
+			continue
+		}
+		queue := spans.Owner{}
+		if waiting.ask.Keyed {
+			queue = known.ownerOf(waiting.ask)
+		}
+		if refusal := known.tooLate(waiting.ask, ahead[queue], now); refusal != nil {
+			waiting.outcome <- outcome{refusal: refusal}
 			continue
 		}
-		entry.begin()
-		waiting.given <- &Ticket{Target: entry.target, ask: waiting.ask, board: board, began: now}
+		ahead[queue]++
+		rest = append(rest, waiting)
 	}
 	clear(known.waiters[len(rest):])
 	known.waiters = rest
--- a/internal/dispatch/permit/message.go
+++ b/internal/dispatch/permit/message.go
@@ -28,8 +28,9 @@
 	ID       string
 	Born     int64
 	Priority int
-	// Left is the time until the deadline, since clocks differ.
+	// Left and Goal are the times until deadline and goal, since clocks differ.
 	Left time.Duration
+	Goal time.Duration
 }
 
 func (askmessage askMessage) owner() spans.Owner {
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -176,6 +176,7 @@
 	request, err := payload(kindAsk, askMessage{
 		Service: ask.Service, ID: target.Owner.ID, Born: target.Owner.Born, Priority: ask.Priority,
 		Left: ask.Deadline.Sub(desk.clock.Now()).Round(time.Millisecond),
+		Goal: ask.Goal.Sub(desk.clock.Now()).Round(time.Millisecond),
 	})
 	if err != nil {
 		return nil, nil, err
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -88,14 +88,20 @@
 	now := primary.clock.Now()
 	deadline := now.Add(message.Left)
 	waiting, refusal := primary.board.Enqueue(admit.Ask{
-		Service: message.Service, Keyed: true, Owner: message.owner(), Priority: message.Priority, Deadline: deadline,
+		Service: message.Service, Keyed: true, Owner: message.owner(), Priority: message.Priority,
+		Goal: now.Add(message.Goal), Deadline: deadline,
 	})
 	if refusal != nil {
 		return refuse(refusal)
 	}
 	held := &entry{waiting: waiting, until: deadline.Add(permitSlack)}
 	number := primary.enter(held, now)
-	if ticket := waiting.Given(); ticket != nil {
+	ticket, refusal := waiting.Decided()
+	switch {
+	case refusal != nil:
+		primary.forget(number)
+		return refuse(refusal)
+	case ticket != nil:
 		held.ticket = ticket
 		return payload(kindGranted, grantMessage{Number: number})
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -33,6 +33,13 @@
 	workspaceRank = 1000
 	// hostRetryAfter is when callers may return to a host that is not ready.
 	hostRetryAfter = 300 * time.Millisecond
+	// startTime is how long a host takes to get its first configuration, even where
+	// the control hosts have only just started too.
+	startTime = 3 * time.Second
+	// startPart is the part of a caller's patience, as a divisor, that it may be kept
+	// waiting for that.
+	startPart = 2
+	startPoll = 20 * time.Millisecond
 	// sendSlack is kept from the caller's time for the way back.
 	sendSlack = 10 * time.Millisecond
 	// defaultPatience bounds requests whose caller names no deadline, beside the
@@ -106,6 +113,8 @@
 	MaxAge time.Duration
 	// Asked is told each key that is asked for.
 	Asked func(service string, key uint16)
+	// StartedAt is when the host started.
+	StartedAt time.Time
 	// Draining tells whether connections should end.
 	Draining func() bool
 	Clock    clockwork.Clock
@@ -144,6 +153,7 @@
 	defer relay.running.Add(-1)
 	visit := &visit{relay: relay, writer: writer, request: request, arrived: relay.Clock.Now(), belief: relay.Belief()}
 	visit.caller = relay.Protocol.Caller(request.Header)
+	visit.awaitStart()
 	if relay.Draining() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -158,6 +168,27 @@
 	visit.serve()
 }
 
+// awaitStart gives a host that has just started a moment to get its first
+// configuration, rather than refuse all callers meanwhile.
+func (visit *visit) awaitStart() {
+	relay := visit.relay
+	until := visit.arrived.Add(patience(visit.caller) / startPart)
+	if last := relay.StartedAt.Add(startTime); until.After(last) {
+		until = last
+	}
+	for !visit.belief.View.Configured || visit.belief.ConfirmedAt.IsZero() {
+		if !relay.Clock.Now().Before(until) {
+			return
+		}
+		select {
+		case <-relay.Clock.After(startPoll):
+		case <-visit.request.Context().Done():
+			return
+		}
+		visit.belief = relay.Belief()
+	}
+}
+
 // refusal is an answer of the host's own. Statuses that promise that the
 // request has not run are only used where that is known.
 type refusal struct {
@@ -292,7 +323,7 @@
 	service, _ := visit.belief.View.Service(visit.service)
 	ask := admit.Ask{
 		Service: visit.service, Keyed: service.Keyed, Key: visit.caller.Shard, Priority: visit.rank,
-		Deadline: visit.deadline,
+		Goal: visit.arrived.Add(visit.route.Goal), Deadline: visit.deadline,
 	}
 	if service.Keyed && visit.sends == 0 && visit.caller.HasShard {
 		relay.Asked(visit.service, visit.caller.Shard)
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -30,9 +30,9 @@
 	logPrefix = "host: "
 	// electionTimeout and heartbeatInterval pace consensus. Slower than on a
 	// fleet of its own network, since bytes between data centres are dear.
-	electionTimeout   = 800 * time.Millisecond
-	heartbeatInterval = 250 * time.Millisecond
-	tickInterval      = 40 * time.Millisecond
+	electionTimeout   = 500 * time.Millisecond
+	heartbeatInterval = 180 * time.Millisecond
+	tickInterval      = 30 * time.Millisecond
 	// snapshotEvery is the number of log entries between two snapshots. Disks are
 	// small and catalogs are, too.
 	snapshotEvery = 4000
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -111,7 +111,7 @@
 	entry.relay = &relay.Relay{
 		Protocol: protocol, Board: entry.board, Desk: entry.desk, Pool: entry.pool, Purse: entry.purse, Belief: entry.belief,
 		MaxAge: entry.maxAge(), Asked: entry.noteKey, Draining: entry.draining.Load, Clock: options.Clock,
-		Log: options.Log, Stats: options.Stats,
+		Log: options.Log, Stats: options.Stats, StartedAt: options.Clock.Now(),
 	}
 	if err := entry.listen(); err != nil {
 		entry.Kill()
--- a/internal/rates/share/bank.go
+++ b/internal/rates/share/bank.go
@@ -11,8 +11,11 @@
 	Reach = 1200 * time.Millisecond
 	// LoanTerm is how long lent tokens may be spent.
 	LoanTerm = time.Second
-	// aheadTime is the demand that is lent ahead with each report.
-	aheadTime = 500 * time.Millisecond
+	// aheadTime is the demand for which a host wants tokens ahead.
+	aheadTime = 600 * time.Millisecond
+	// newTermPart is the part of the burst with which a new leader starts, since
+	// the one before may have lent the burst a moment ago.
+	newTermPart = 0.5
 	// aheadReserve is the part of the burst that is not lent ahead.
 	aheadReserve = 0.4
 	// overloadPause is how long callers are told to wait for each time that the
@@ -49,7 +52,7 @@
 	}
 	found, ok := book.banks[workspace]
 	if !ok {
-		found = &bank{at: now}
+		found = &bank{at: now, level: rate.Burst * newTermPart}
 		if !now.Before(book.openAt) {
 			found.level = rate.Burst
 		}
@@ -108,15 +111,15 @@
 }
 
 // ahead lends what a host is expected to need until its next report.
-func (book *Book) ahead(now time.Time, host string, rates map[string]Rate) map[string]float64 {
+func (book *Book) ahead(now time.Time, need map[string]float64, rates map[string]Rate) map[string]float64 {
 	lent := map[string]float64{}
-	for workspace, demand := range book.hosts[host].demand {
+	for workspace, wanted := range need {
 		rate, limited := rates[workspace]
 		if !limited || rate.PerSecond <= 0 {
 			continue
 		}
 		bank := book.bank(now, workspace, rate)
-		tokens := math.Floor(min(demand*aheadTime.Seconds(), bank.level-rate.Burst*aheadReserve))
+		tokens := math.Floor(min(wanted, bank.level-rate.Burst*aheadReserve))
 		if tokens < 1 {
 			continue
 		}
--- a/internal/rates/share/book.go
+++ b/internal/rates/share/book.go
@@ -64,6 +64,8 @@
 	Left time.Duration
 	// Demand is what callers ask of the host, in requests per second.
 	Demand map[string]float64
+	// Need is the number of tokens that the host lacks until its next report.
+	Need map[string]float64
 }
 
 // Grant is the answer to a Report.
@@ -144,7 +146,7 @@
 	if held != nil && held.near(answer.Parts) {
 		answer.Parts = nil // the host holds them already
 	}
-	answer.Lent = book.ahead(now, report.Host, rates)
+	answer.Lent = book.ahead(now, report.Need, rates)
 	return answer
 }
 
--- a/internal/rates/share/purse.go
+++ b/internal/rates/share/purse.go
@@ -19,7 +19,7 @@
 	// askAhead is the demand that a host asks for with a loan.
 	askAhead = 300 * time.Millisecond
 	// leastBurst is the least number of tokens that a standing part saves up.
-	leastBurst = 1.0
+	leastBurst = 2.0
 )
 
 // Borrow asks the leader for tokens. An error means that it was not reached.
@@ -109,6 +109,14 @@
 	return 0, true
 }
 
+// left returns the lent tokens that are not spent yet.
+func (account *account) left(now time.Time) float64 {
+	if !now.Before(account.lentUntil) {
+		return 0
+	}
+	return account.lent
+}
+
 func (account *account) lend(now time.Time, tokens float64) {
 	if !now.Before(account.lentUntil) {
 		account.lent = 0
@@ -162,7 +170,7 @@
 func (purse *Purse) Report(now time.Time, host string) Report {
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
-	report := Report{Host: host, Got: purse.number, Demand: map[string]float64{}}
+	report := Report{Host: host, Got: purse.number, Demand: map[string]float64{}, Need: map[string]float64{}}
 	if now.Before(purse.until) {
 		report.Left = purse.until.Sub(now)
 		if purse.asked {
@@ -174,6 +182,9 @@
 		if account.demand > demandFloor {
 			report.Demand[workspace] = math.Ceil(account.demand*demandSteps) / demandSteps
 		}
+		if need := math.Round(account.demand*aheadTime.Seconds() - account.left(now)); need >= 1 {
+			report.Need[workspace] = need
+		}
 	}
 	return report
 }
