--- /dev/null
+++ b/internal/control/items/items_test.go
@@ -0,0 +1,105 @@
+package items
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newService(name string, version uint64) Item {
+	return Item{Kind: KindService, Name: name, Version: version, Source: []byte(name), Service: &Service{}}
+}
+
+func newRoute(name, prefix, service string, version uint64) Item {
+	return Item{
+		Kind: KindRoute, Name: name, Version: version, Source: []byte(name + prefix + service),
+		Route: &Route{Host: "host", Prefix: prefix, Timeout: time.Second, Attempts: 1, Split: []Share{{service, 1}}},
+	}
+}
+
+func newWorkspace(name string, version uint64, keys ...string) Item {
+	source := []byte(name)
+	for _, key := range keys {
+		source = append(source, key...)
+	}
+	return Item{Kind: KindWorkspace, Name: name, Version: version, Source: source, Workspace: &Workspace{Keys: keys}}
+}
+
+func drop(item Item, version uint64) Item {
+	return Item{Kind: item.Kind, Name: item.Name, Version: version, Deleted: true}
+}
+
+func faulty(change func(*Route)) Item {
+	item := newRoute("faulty", "/", "jobs", 9)
+	change(item.Route)
+	return item
+}
+
+func TestMerge(t *testing.T) {
+	service := newService("jobs", 3)
+	route := newRoute("r", "/a/", "jobs", 3)
+	cases := []struct {
+		name    string
+		calls   [][]Item
+		verdict Verdict
+	}{
+		{"first items", [][]Item{{route, service}}, VerdictDone},
+		{"resent", [][]Item{{route, service}, {route, service}}, VerdictResent},
+		{"an uneven step", [][]Item{{route, service}, {newRoute("r", "/b/", "jobs", 17)}}, VerdictDone},
+		{"overtaken", [][]Item{{route, service}, {newRoute("r", "/b/", "jobs", 17)}, {route}}, VerdictResent},
+		{"two operators with one version", [][]Item{{route, service}, {newRoute("r", "/b/", "jobs", 3)}}, VerdictConflict},
+		{"dropped", [][]Item{{route, service}, {drop(route, 4)}}, VerdictDone},
+		{"set again below the drop", [][]Item{{route, service}, {drop(route, 7)}, {newRoute("r", "/b/", "jobs", 5)}}, VerdictResent},
+		{"dropped and set with one version", [][]Item{{route, service}, {drop(route, 3)}}, VerdictConflict},
+		{"unknown service", [][]Item{{service}, {newRoute("x", "/x/", "nobody", 1)}}, VerdictInvalid},
+		{"weight below 0", [][]Item{{service}, {faulty(func(route *Route) { route.Split = []Share{{"jobs", 2}, {"jobs", -1}} })}}, VerdictInvalid},
+		{"no timeout", [][]Item{{service}, {faulty(func(route *Route) { route.Timeout = 0 })}}, VerdictInvalid},
+		{"no attempts", [][]Item{{service}, {faulty(func(route *Route) { route.Attempts = 0 })}}, VerdictInvalid},
+		{"a shared key", [][]Item{{newWorkspace("a", 1, "k")}, {newWorkspace("b", 1, "k")}}, VerdictInvalid},
+		{"a key that changes hands", [][]Item{{newWorkspace("a", 1, "k")}, {newWorkspace("a", 2), newWorkspace("b", 1, "k")}}, VerdictDone},
+		{"an old holder of a key resent", [][]Item{
+			{newWorkspace("a", 1, "k")}, {newWorkspace("a", 2), newWorkspace("b", 1, "k")}, {newWorkspace("a", 1, "k")},
+		}, VerdictResent},
+		{"nothing of an invalid call", [][]Item{{service}, {newService("more", 1), newRoute("x", "/x/", "nobody", 1)}}, VerdictInvalid},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			set := Set{}
+			var verdict Verdict
+			for _, call := range testcase.calls {
+				before := len(set.Items)
+				var err error
+				set, verdict, err = set.Merge(call)
+				if verdict == VerdictInvalid || verdict == VerdictConflict {
+					is.True(err != nil)
+					is.Equal(len(set.Items), before) // nothing of it is in force
+				}
+			}
+			is.Equal(verdict, testcase.verdict)
+		})
+	}
+}
+
+func TestView(t *testing.T) {
+	is := is.New(t)
+	set, _, err := Set{}.Merge([]Item{
+		newService("jobs", 1), newRoute("short", "/a/", "jobs", 1), newRoute("long", "/a/b/", "jobs", 1),
+		newWorkspace("w", 1, "k"),
+	})
+	is.NoErr(err)
+	view := set.View()
+	for _, testcase := range []struct{ path, want string }{
+		{"/a/x", "short"}, {"/a/b/x", "long"}, {"/a/bc", "short"}, {"/c/", ""}, {"/a", ""},
+	} {
+		route, _ := view.Route("HOST", testcase.path)
+		is.Equal(route.Name, testcase.want)
+	}
+	name, _, known := view.KeyOwner("k")
+	is.True(known)
+	is.Equal(name, "w")
+	_, _, known = view.KeyOwner("other")
+	is.True(!known)
+	is.Equal(len(set.InForce()), 4)
+}
--- a/internal/rates/share/bank.go
+++ b/internal/rates/share/bank.go
@@ -7,17 +7,18 @@
 
 const (
 	// Reach is the time without an answer of the leader after which a host goes
-	// on with its standing part, and after which the leader counts on that.
-	Reach = 1200 * time.Millisecond
+	// on with its standing part, and after which the leader lends no more of that.
+	// Tokens lent ahead bridge most of it.
+	Reach = 800 * time.Millisecond
 	// LoanTerm is how long lent tokens may be spent.
-	LoanTerm = time.Second
+	LoanTerm = 1300 * time.Millisecond
 	// aheadTime is the demand for which a host wants tokens ahead.
-	aheadTime = 600 * time.Millisecond
+	aheadTime = time.Second
 	// newTermPart is the part of the burst with which a new leader starts, since
 	// the one before may have lent the burst a moment ago.
-	newTermPart = 0.5
+	newTermPart = 0.1
 	// aheadReserve is the part of the burst that is not lent ahead.
-	aheadReserve = 0.4
+	aheadReserve = 0.75
 	// overloadPause is how long callers are told to wait for each time that the
 	// demand exceeds the rate.
 	overloadPause = 400 * time.Millisecond
--- a/internal/rates/share/purse.go
+++ b/internal/rates/share/purse.go
@@ -18,8 +18,10 @@
 	refusedFor = 50 * time.Millisecond
 	// askAhead is the demand that a host asks for with a loan.
 	askAhead = 300 * time.Millisecond
-	// leastBurst is the least number of tokens that a standing part saves up.
-	leastBurst = 2.0
+	// standingStart is the number of tokens with which all hosts together begin to
+	// use their standing parts: less than what the users tolerate beyond a rate,
+	// since the leader may have lent the whole burst a moment before.
+	standingStart = 4.0
 )
 
 // Borrow asks the leader for tokens. An error means that it was not reached.
@@ -32,9 +34,11 @@
 	lentUntil time.Time
 	// refusedUntil is until when the leader's last refusal counts.
 	refusedUntil time.Time
-	// saved are tokens of the standing part.
+	// saved are tokens of the standing part, and alone is set while it is in use.
 	saved   float64
 	savedAt time.Time
+	alone   bool
+	aloneAt time.Time
 	demand  float64
 	seen    time.Time
 }
@@ -101,6 +105,7 @@
 	defer purse.mutex.Unlock()
 	purse.reached = now
 	account := purse.account(workspace, now)
+	account.alone = false
 	if loan.Tokens < 1 {
 		account.refusedUntil = now.Add(refusedFor)
 		return max(refusedFor, loan.Wait), false
@@ -129,14 +134,23 @@
 func (purse *Purse) standing(now time.Time, workspace string, rate Rate) (time.Duration, bool) {
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
+	if alone := purse.reached.Add(Reach); now.Before(alone) {
+		return alone.Sub(now), false
+	}
 	if !now.Before(purse.until) {
 		return Reach, false
 	}
 	account := purse.account(workspace, now)
 	part := purse.parts[workspace]
+	if !account.alone {
+		account.alone, account.saved, account.savedAt = true, 0, now
+		if now.Sub(account.aloneAt) > Term {
+			account.saved, account.aloneAt = standingStart*part, now
+		}
+	}
 	passed := now.Sub(account.savedAt).Seconds()
 	account.savedAt = now
-	account.saved = min(max(leastBurst, rate.Burst*part), account.saved+passed*rate.PerSecond*part)
+	account.saved = min(max(1, standingStart*part, rate.Burst*part), account.saved+passed*rate.PerSecond*part)
 	if account.saved >= 1 {
 		account.saved--
 		return 0, true
@@ -153,7 +167,7 @@
 	}
 	found, ok := purse.accounts[workspace]
 	if !ok {
-		found = &account{savedAt: now, seen: now}
+		found = &account{seen: now}
 		purse.accounts[workspace] = found
 	}
 	return found
@@ -203,6 +217,9 @@
 	}
 	purse.number = grant.Number
 	purse.until = sent.Add(grant.Term)
+	for _, account := range purse.accounts {
+		account.alone = false
+	}
 	for workspace, tokens := range grant.Lent {
 		purse.account(workspace, now).lend(now, tokens)
 	}
