Give permits also for requests without a key, by data centre

Change: one primary a service and data centre; others are asked where the wait would be over 100 ms.

--- a/internal/control/steer/beat.go
+++ b/internal/control/steer/beat.go
@@ -125,7 +125,8 @@
 	if !known || present.Born != instance.Born || present.Draining != instance.Draining || present.Cold != instance.Cold {
 		steer.log.WithField("upstream", instance.ID).WithField("born", instance.Born).
 			WithField("service", instance.Service).WithField("draining", instance.Draining).
-			WithField("cold", instance.Cold).Info(logPrefix + "an upstream announced itself")
+			WithField("cold", instance.Cold).WithField("dataCentre", instance.DataCentre).
+			Info(logPrefix + "an upstream announced itself")
 	}
 	return nil
 }
--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -34,7 +34,7 @@
 	// maxQueue bounds the requests that wait at one host for one service.
 	maxQueue = 512
 	// retryRatio is the part of requests that may be sent once more.
-	retryRatio = 0.12
+	retryRatio = 0.17
 	// retryBurst is the number of repeats that a host may save up.
 	retryBurst = 4.0
 )
@@ -66,6 +66,13 @@
 	Deadline time.Time
 	// Owner names the upstream itself where it is set.
 	Owner spans.Owner
+	// Place restricts the choice to the upstreams of a data centre where it is set.
+	Place string
+}
+
+// fits tells whether a request without a key may go to the target.
+func (ask Ask) fits(target Target) bool {
+	return !target.Leaving && (ask.Place == "" || ask.Place == target.DataCentre)
 }
 
 // Refusal says why there is no upstream, and when to come back.
@@ -240,6 +247,25 @@
 	return &Waiting{board: board, waiter: waiter}, nil
 }
 
+// ExpectedWait estimates how long the request is going to wait.
+func (waiting *Waiting) ExpectedWait() time.Duration {
+	board := waiting.board
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	known := board.service(waiting.waiter.ask.Service)
+	ahead := 0
+	for _, other := range known.waiters {
+		if other == waiting.waiter {
+			break
+		}
+		if other.queue(known) == waiting.waiter.queue(known) {
+			ahead++
+		}
+	}
+	wait, _ := known.expectedWait(waiting.waiter.ask, ahead)
+	return wait
+}
+
 // Decided returns the ticket or the refusal if the request has got one, else
 // neither. An outcome is returned once.
 func (waiting *Waiting) Decided() (*Ticket, *Refusal) {
@@ -290,6 +316,9 @@
 	if len(known.waiters) >= maxQueue {
 		return nil, &Refusal{Reason: ReasonQueueFull, RetryAfter: known.typical()}
 	}
+	if ask.Place != "" && board.candidate(known, ask, now, false) == nil {
+		return nil, &Refusal{Reason: ReasonNoUpstream, RetryAfter: ownerRetryAfter}
+	}
 	if refusal := board.hopeless(known, ask, now); refusal != nil {
 		return nil, refusal
 	}
@@ -309,18 +338,34 @@
 // hopeless refuses a request whose turn would come too late.
 func (board *Board) hopeless(known *service, ask Ask, now time.Time) *Refusal {
 	ahead := 0
-	owner := known.ownerOf(ask)
+	owner := spans.Owner{}
+	if ask.Keyed {
+		owner = known.ownerOf(ask)
+	}
 	for _, other := range known.waiters {
 		if other.ask.Priority > ask.Priority {
 			break
 		}
-		if !ask.Keyed || other.ask.Keyed && known.ownerOf(other.ask) == owner {
+		if other.queue(known) == (queue{owner: owner, place: ask.Place}) {
 			ahead++
 		}
 	}
 	return known.tooLate(ask, ahead, now)
 }
 
+// queue names the upstreams that requests wait for together.
+type queue struct {
+	owner spans.Owner
+	place string
+}
+
+func (waiter *waiter) queue(known *service) queue {
+	if waiter.ask.Keyed {
+		return queue{owner: known.ownerOf(waiter.ask), place: waiter.ask.Place}
+	}
+	return queue{place: waiter.ask.Place}
+}
+
 // tooLate refuses a request if so many are ahead of it that its answer would
 // come after the deadline, or, while requests are being refused anyway, after
 // the goal: an upstream that works on late answers makes all answers late.
@@ -347,7 +392,7 @@
 	window, free := 0.0, 0.0
 	owner := service.ownerOf(ask)
 	for id, entry := range service.upstreams {
-		if !ask.Keyed && !entry.target.Leaving || ask.Keyed && id == owner {
+		if !ask.Keyed && ask.fits(entry.target) || ask.Keyed && id == owner {
 			window += max(1, entry.window)
 			free += max(1, entry.window) - float64(entry.running)
 			work = max(work, entry.typical)
@@ -408,17 +453,14 @@
 // refuses those that more urgent ones have pushed back too far.
 func (board *Board) pump(known *service, now time.Time) {
 	rest := known.waiters[:0]
-	ahead := map[spans.Owner]int{}
+	ahead := map[queue]int{}
 	for _, waiting := range known.waiters {
 		if entry := board.candidate(known, waiting.ask, now, true); entry != nil {
 			entry.begin()
 			waiting.outcome <- outcome{ticket: &Ticket{Target: entry.target, ask: waiting.ask, board: board, began: now}}
 			continue
 		}
-		queue := spans.Owner{}
-		if waiting.ask.Keyed {
-			queue = known.ownerOf(waiting.ask)
-		}
+		queue := waiting.queue(known)
 		if refusal := known.tooLate(waiting.ask, ahead[queue], now); refusal != nil {
 			waiting.outcome <- outcome{refusal: refusal}
 			continue
@@ -441,7 +483,7 @@
 	warm := known.has(func(entry *upstream) bool { return !entry.target.Cold && !entry.target.Leaving })
 	for _, entry := range known.upstreams {
 		target := entry.target
-		if target.Leaving || warm && target.Cold {
+		if !ask.fits(target) || warm && target.Cold {
 			continue
 		}
 		if open && !entry.open(now) {
@@ -484,7 +526,7 @@
 }
 
 func (board *Board) distance(target Target) time.Duration {
-	if target.DataCentre == board.dataCentre {
+	if board.exact || target.DataCentre == board.dataCentre {
 		return 0
 	}
 	return remoteCost
@@ -568,6 +610,17 @@
 	return report
 }
 
+// Target returns what is known of an upstream.
+func (board *Board) Target(name string, owner spans.Owner) (Target, bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	entry, known := board.service(name).upstreams[owner]
+	if !known {
+		return Target{}, false
+	}
+	return entry.target, true
+}
+
 // Misplaced notes that the owner of a key turned out not to hold it.
 func (board *Board) Misplaced(ask Ask, owner spans.Owner) {
 	board.mutex.Lock()
@@ -586,6 +639,20 @@
 	}
 }
 
+// Places returns the data centres of the upstreams that requests without a key
+// may go to, each once.
+func (board *Board) Places(name string) []string {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	var places []string
+	for _, entry := range board.service(name).upstreams {
+		if !entry.target.Leaving && !slices.Contains(places, entry.target.DataCentre) {
+			places = append(places, entry.target.DataCentre)
+		}
+	}
+	return places
+}
+
 // Count counts a request for a service towards the budget of repeats.
 func (board *Board) Count(name string) {
 	board.mutex.Lock()
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -36,7 +36,7 @@
 	// usualPace is the reported pace of a machine without neighbours, in percent.
 	usualPace = 100
 	// remoteCost is what crossing between data centres counts against an upstream.
-	remoteCost = 60 * time.Millisecond
+	remoteCost = 100 * time.Millisecond
 )
 
 // Target is an upstream that requests may be sent to.
--- a/internal/dispatch/permit/message.go
+++ b/internal/dispatch/permit/message.go
@@ -17,17 +17,24 @@
 	kindGranted = "granted"
 	kindQueued  = "queued"
 	kindRefused = "refused"
+	kindBusy    = "busy"
 	kindTaken   = "taken"
 	kindUnknown = "unknown"
 )
 
 // askMessage asks the primary of an upstream for a permit.
 type askMessage struct {
-	_        struct{} `cbor:",toarray"`
-	Service  string
+	_       struct{} `cbor:",toarray"`
+	Service string
+	// ID and Born name the owner of the key asked for. Without them the request
+	// has no key, and goes to any upstream of Place.
 	ID       string
 	Born     int64
+	Place    string
 	Priority int
+	// Bears is the longest expected wait with which the request takes a place in
+	// the queue rather than ask elsewhere.
+	Bears time.Duration
 	// Left and Goal are the times until deadline and goal, since clocks differ.
 	Left time.Duration
 	Goal time.Duration
@@ -37,6 +44,14 @@
 	return spans.Owner{ID: askmessage.ID, Born: askmessage.Born}
 }
 
+// targetMessage names the upstream of a granted permit.
+type targetMessage struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	ID     string
+	Born   int64
+}
+
 // awaitMessage waits for a permit that was queued.
 type awaitMessage struct {
 	_      struct{} `cbor:",toarray"`
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -36,6 +36,11 @@
 	askTimeout = 150 * time.Millisecond
 	// suspectFor is how long a primary that did not answer is not asked.
 	suspectFor = time.Second
+	// bearsHere is the expected wait in the own data centre above which others are
+	// asked, since answers that cross between data centres are dear.
+	bearsHere = 100 * time.Millisecond
+	// placesAsked bounds the other data centres that are asked.
+	placesAsked = 2
 	// doneTimeout bounds the return of a permit.
 	doneTimeout = time.Second
 )
@@ -56,31 +61,32 @@
 	desk    *Desk
 	ticket  *admit.Ticket
 	ask     admit.Ask
-	primary netip.AddrPort
+	primary state.Entry
 	number  uint64
 	began   time.Time
 }
 
 // Desk gets permits for the requests of one entry host.
 type Desk struct {
-	self   string
-	local  *admit.Board
-	exact  *admit.Board
-	caller Caller
-	clock  clockwork.Clock
-	log    log.Interface
+	self       string
+	dataCentre string
+	local      *admit.Board
+	// primaryHere gives out the permits of the upstreams whose primary this host is.
+	primaryHere *Primary
+	caller      Caller
+	clock       clockwork.Clock
+	log         log.Interface
 
 	mutex    sync.Mutex
 	entries  []state.Entry
 	suspects map[string]time.Time
 }
 
-// NewDesk returns the desk of the named host. Local is the host's own board,
-// and exact the one of the upstreams whose primary the host is.
-func NewDesk(self string, local, exact *admit.Board, caller Caller, clock clockwork.Clock, logger log.Interface) *Desk {
+// NewDesk returns the desk of a host. Local is the host's own board.
+func NewDesk(self state.Entry, local *admit.Board, primaryHere *Primary, caller Caller, clock clockwork.Clock, logger log.Interface) *Desk {
 	return &Desk{
-		self: self, local: local, exact: exact, caller: caller, clock: clock, log: logger,
-		suspects: map[string]time.Time{},
+		self: self.Name, dataCentre: self.DataCentre, local: local, primaryHere: primaryHere, caller: caller,
+		clock: clock, log: logger, suspects: map[string]time.Time{},
 	}
 }
 
@@ -93,9 +99,9 @@
 	desk.entries = sorted
 }
 
-// primary returns the host that gives out an upstream's permits: by rendezvous
-// hashing one of the upstream's data centre, where there is one.
-func (desk *Desk) primary(target admit.Target) (state.Entry, bool) {
+// primary returns the host that gives out the permits of a subject: by
+// rendezvous hashing one of the data centre, where there is one.
+func (desk *Desk) primary(subject, dataCentre string) (state.Entry, bool) {
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	now := desk.clock.Now()
@@ -106,11 +112,11 @@
 		if entry.Draining || !entry.Peer.IsValid() || now.Before(desk.suspects[entry.Name]) {
 			continue
 		}
-		near := entry.DataCentre == target.DataCentre
+		near := entry.DataCentre == dataCentre
 		if foundNear && !near {
 			continue
 		}
-		score := xxhash.Sum64String(target.Owner.ID + "/" + entry.Name)
+		score := xxhash.Sum64String(subject + "/" + entry.Name)
 		if !found || near && !foundNear || score > bestScore {
 			best, bestScore, found, foundNear = entry, score, true, near
 		}
@@ -132,36 +138,92 @@
 // Acquire returns a permit, at once or after a wait, or a refusal.
 func (desk *Desk) Acquire(ctx context.Context, ask admit.Ask) (*Permit, *admit.Refusal) {
 	if !ask.Keyed {
-		return desk.own(ctx, desk.local, ask, "host")
+		return desk.acquireAnywhere(ctx, ask)
 	}
 	for {
 		target, changed, refusal := desk.local.Owner(ctx, ask)
 		if refusal != nil {
 			return nil, refusal
 		}
-		entry, found := desk.primary(target)
+		entry, found := desk.primary(target.Owner.ID, target.DataCentre)
 		if !found {
 			return desk.own(ctx, desk.local, ask, "host")
 		}
-		if entry.Name == desk.self {
-			exact := ask
-			exact.Owner = target.Owner
-			return desk.own(ctx, desk.exact, exact, "self")
-		}
-		permit, refusal, err := desk.ask(ctx, entry, target, ask, changed)
-		switch {
-		case errors.Is(err, errMoved):
-			continue
-		case err != nil && ctx.Err() == nil:
-			desk.suspect(entry, err)
+		exact := ask
+		exact.Owner = target.Owner
+		permit, refusal, err := desk.ask(ctx, entry, exact, ask.Deadline.Sub(desk.clock.Now()), changed)
+		if errors.Is(err, errMoved) || desk.noteFailure(ctx, entry, err) {
 			continue
-		case err != nil:
+		}
+		if err != nil {
 			return nil, &admit.Refusal{Reason: admit.ReasonCallerLeft}
 		}
 		return permit, refusal
 	}
 }
 
+// noteFailure suspects a primary that did not answer, and tells whether to ask
+// another.
+func (desk *Desk) noteFailure(ctx context.Context, entry state.Entry, err error) bool {
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	desk.suspect(entry, err)
+	return true
+}
+
+// acquireAnywhere gets a permit for a request without a key: in the host's data
+// centre, elsewhere where the wait here would be long and there is room at once,
+// or else in the queue here.
+func (desk *Desk) acquireAnywhere(ctx context.Context, ask admit.Ask) (*Permit, *admit.Refusal) {
+	places := desk.local.Places(ask.Service)
+	slices.SortFunc(places, func(left, right string) int { return cmp.Compare(desk.distance(left), desk.distance(right)) })
+	for number, place := range places {
+		bears := time.Duration(0)
+		if number == 0 {
+			bears = bearsHere
+		}
+		permit, _, err := desk.askPlace(ctx, ask, place, bears)
+		if err == nil && permit != nil {
+			return permit, nil
+		}
+		if ctx.Err() != nil || number >= placesAsked {
+			break
+		}
+	}
+	for _, place := range places {
+		permit, refusal, err := desk.askPlace(ctx, ask, place, ask.Deadline.Sub(desk.clock.Now()))
+		if err == nil && (permit != nil || refusal != nil && refusal.Reason != admit.ReasonNoUpstream) {
+			return permit, refusal
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return desk.own(ctx, desk.local, ask, "host")
+}
+
+// distance orders data centres: the own one first, the others at random.
+func (desk *Desk) distance(place string) uint64 {
+	if place == desk.dataCentre {
+		return 0
+	}
+	return 1 + xxhash.Sum64String(desk.self+place)>>1
+}
+
+// askPlace asks for any upstream of a data centre. It returns neither permit nor
+// refusal where the wait there is longer than the request bears.
+func (desk *Desk) askPlace(ctx context.Context, ask admit.Ask, place string, bears time.Duration) (*Permit, *admit.Refusal, error) {
+	entry, found := desk.primary(ask.Service, place)
+	if !found {
+		return nil, nil, Error.New("no host gives permits for %s", place)
+	}
+	ask.Place = place
+	permit, refusal, err := desk.ask(ctx, entry, ask, bears, nil)
+	desk.noteFailure(ctx, entry, err)
+	return permit, refusal, err
+}
+
 func (desk *Desk) own(ctx context.Context, board *admit.Board, ask admit.Ask, source string) (*Permit, *admit.Refusal) {
 	ticket, refusal := board.Acquire(ctx, ask)
 	if refusal != nil {
@@ -170,30 +232,31 @@
 	return &Permit{Target: ticket.Target, Source: source, desk: desk, ticket: ticket, ask: ask, began: desk.clock.Now()}, nil
 }
 
-// ask asks another host for a permit, and waits for it as long as the key's
-// owner stays.
-func (desk *Desk) ask(ctx context.Context, entry state.Entry, target admit.Target, ask admit.Ask, changed <-chan struct{}) (*Permit, *admit.Refusal, error) {
+// ask asks a primary for a permit, and waits for it if the expected wait is not
+// longer than the request bears, and as long as the key's owner stays. Without
+// permit and refusal the primary is too busy.
+func (desk *Desk) ask(ctx context.Context, entry state.Entry, ask admit.Ask, bears time.Duration, changed <-chan struct{}) (*Permit, *admit.Refusal, error) {
+	now := desk.clock.Now()
 	request, err := payload(kindAsk, askMessage{
-		Service: ask.Service, ID: target.Owner.ID, Born: target.Owner.Born, Priority: ask.Priority,
-		Left: ask.Deadline.Sub(desk.clock.Now()).Round(time.Millisecond),
-		Goal: ask.Goal.Sub(desk.clock.Now()).Round(time.Millisecond),
+		Service: ask.Service, ID: ask.Owner.ID, Born: ask.Owner.Born, Place: ask.Place, Priority: ask.Priority, Bears: bears,
+		Left: ask.Deadline.Sub(now).Round(time.Millisecond), Goal: ask.Goal.Sub(now).Round(time.Millisecond),
 	})
 	if err != nil {
 		return nil, nil, err
 	}
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
-	reply, err := desk.caller.Call(limited, entry.Peer, request)
+	reply, err := desk.call(limited, entry, request)
 	cancel()
 	if err != nil {
 		return nil, nil, Error.New("ask for a permit: %w", err)
 	}
-	permit := &Permit{Target: target, Source: entry.Name, desk: desk, ask: ask, primary: entry.Peer}
+	permit := &Permit{Source: entry.Name, desk: desk, ask: ask, primary: entry}
 	if reply.Kind == kindQueued {
 		var queued grantMessage
 		if err := codec.Unmarshal(reply.Head, &queued); err != nil {
 			return nil, nil, Error.New("decode place in the queue: %w", err)
 		}
-		reply, err = desk.await(ctx, entry, queued.Number, target, ask, changed)
+		reply, err = desk.await(ctx, entry, queued.Number, ask, changed)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -201,47 +264,64 @@
 	return permit.take(reply)
 }
 
+// call sends a request to a primary, which may be this host.
+func (desk *Desk) call(ctx context.Context, entry state.Entry, request links.Payload) (links.Payload, error) {
+	if entry.Name == desk.self {
+		return desk.primaryHere.Serve(ctx, request), nil
+	}
+	reply, err := desk.caller.Call(ctx, entry.Peer, request)
+	if err != nil {
+		return links.Payload{}, Error.New("call %s: %w", entry.Name, err)
+	}
+	return reply, nil
+}
+
 // await waits for a queued permit. It ends early where the owner has changed.
-func (desk *Desk) await(ctx context.Context, entry state.Entry, number uint64, target admit.Target, ask admit.Ask, changed <-chan struct{}) (links.Payload, error) {
+func (desk *Desk) await(ctx context.Context, entry state.Entry, number uint64, ask admit.Ask, changed <-chan struct{}) (links.Payload, error) {
 	request, err := payload(kindAwait, awaitMessage{Number: number})
 	if err != nil {
 		return links.Payload{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	moved := make(chan struct{})
+	moved := make(chan bool, 1)
 	go func() {
-		defer close(moved)
-		if desk.ownerLeft(ctx, target, ask, changed) {
+		left := ask.Keyed && desk.ownerLeft(ctx, ask, changed)
+		if left {
 			cancel()
 		}
+		moved <- left
 	}()
-	reply, err := desk.caller.Call(ctx, entry.Peer, request)
-	if err == nil {
-		return reply, nil
-	}
-	cancelled := ctx.Err() != nil
+	reply, err := desk.call(ctx, entry, request)
+	left := ctx.Err() != nil
 	cancel()
-	<-moved
-	if now, _, refusal := desk.local.Owner(context.Background(), ask); cancelled && refusal == nil && now.Owner != target.Owner {
+	if <-moved {
 		return links.Payload{}, errMoved
 	}
-	return links.Payload{}, Error.New("wait for a permit: %w", err)
+	if err != nil {
+		return links.Payload{}, err
+	}
+	if left && reply.Kind != kindGranted {
+		return links.Payload{}, Error.New("the caller left")
+	}
+	return reply, nil
 }
 
 // ownerLeft waits until the context ends or the key has another owner.
-func (desk *Desk) ownerLeft(ctx context.Context, target admit.Target, ask admit.Ask, changed <-chan struct{}) bool {
+func (desk *Desk) ownerLeft(ctx context.Context, ask admit.Ask, changed <-chan struct{}) bool {
+	byKey := ask
+	byKey.Owner = spans.Owner{}
 	for {
 		select {
 		case <-ctx.Done():
 			return false
 		case <-changed:
 		}
-		now, next, refusal := desk.local.Owner(ctx, ask)
+		now, next, refusal := desk.local.Owner(ctx, byKey)
 		if refusal != nil {
 			return false
 		}
-		if now.Owner != target.Owner {
+		if now.Owner != ask.Owner {
 			return true
 		}
 		changed = next
@@ -252,13 +332,21 @@
 func (permit *Permit) take(reply links.Payload) (*Permit, *admit.Refusal, error) {
 	switch reply.Kind {
 	case kindGranted:
-		var granted grantMessage
+		var granted targetMessage
 		if err := codec.Unmarshal(reply.Head, &granted); err != nil {
 			return nil, nil, Error.New("decode permit: %w", err)
 		}
 		permit.number = granted.Number
 		permit.began = permit.desk.clock.Now()
+		target, known := permit.desk.local.Target(permit.ask.Service, spans.Owner{ID: granted.ID, Born: granted.Born})
+		if !known {
+			permit.Done(admit.ResultLeft, nil)
+			return nil, nil, Error.New("the permit is for an upstream that this host does not know")
+		}
+		permit.Target = target
 		return permit, nil, nil
+	case kindBusy:
+		return nil, nil, nil
 	case kindRefused:
 		var refused refuseMessage
 		if err := codec.Unmarshal(reply.Head, &refused); err != nil {
@@ -278,9 +366,6 @@
 	}
 	if permit.ticket != nil {
 		permit.ticket.Done(result, load)
-		if permit.Source != "host" && result == admit.ResultAnswered {
-			desk.local.Learn(permit.Target.Owner, permit.ask.Service, desk.clock.Now().Sub(permit.began), load)
-		}
 		return
 	}
 	if result == admit.ResultAnswered {
@@ -297,7 +382,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 		defer cancel()
-		_, err = desk.caller.Call(ctx, permit.primary, request)
+		_, err = desk.call(ctx, permit.primary, request)
 	}
 	if err != nil {
 		desk.log.WithError(err).WithField("upstream", permit.Target.Owner.ID).Warn(logPrefix + "a permit could not be given back")
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -88,7 +88,7 @@
 	now := primary.clock.Now()
 	deadline := now.Add(message.Left)
 	waiting, refusal := primary.board.Enqueue(admit.Ask{
-		Service: message.Service, Keyed: true, Owner: message.owner(), Priority: message.Priority,
+		Service: message.Service, Keyed: message.ID != "", Owner: message.owner(), Place: message.Place, Priority: message.Priority,
 		Goal: now.Add(message.Goal), Deadline: deadline,
 	})
 	if refusal != nil {
@@ -103,7 +103,13 @@
 		return refuse(refusal)
 	case ticket != nil:
 		held.ticket = ticket
-		return payload(kindGranted, grantMessage{Number: number})
+		return granted(number, ticket)
+	case waiting.ExpectedWait() > message.Bears:
+		primary.forget(number)
+		if late := waiting.Withdraw(); late != nil {
+			late.Done(admit.ResultLeft, nil)
+		}
+		return links.Payload{Kind: kindBusy}, nil
 	}
 	return payload(kindQueued, grantMessage{Number: number})
 }
@@ -160,7 +166,12 @@
 	if ctx.Err() != nil {
 		primary.done(doneMessage{Number: number, Result: admit.ResultLeft})
 	}
-	return payload(kindGranted, grantMessage{Number: number})
+	return granted(number, ticket)
+}
+
+func granted(number uint64, ticket *admit.Ticket) (links.Payload, error) {
+	owner := ticket.Target.Owner
+	return payload(kindGranted, targetMessage{Number: number, ID: owner.ID, Born: owner.Born})
 }
 
 func (primary *Primary) forget(number uint64) *entry {
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -135,7 +135,8 @@
 		return Error.New("start links: %w", err)
 	}
 	entry.primary = permit.NewPrimary(entry.exact, entry.options.Clock, entry.options.Log)
-	entry.desk = permit.NewDesk(settings.Host.Name, entry.board, entry.exact, entry.links, entry.options.Clock, entry.options.Log)
+	self := state.Entry{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre}
+	entry.desk = permit.NewDesk(self, entry.board, entry.primary, entry.links, entry.options.Clock, entry.options.Log)
 	noDatagram := func([]byte) []byte { return nil }
 	entry.server, err = links.Listen(settings.Peer.Address, secret, entry.primary.Serve, noDatagram, entry.options.Log)
 	if err != nil {
