--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -12,8 +12,8 @@
 	// an upstream, per slot of the upstream.
 	firstWindow = 2.0
 	maxWindow   = 3.0
-	// exactSpare is the number of requests that wait at an upstream itself, so that
-	// its slots do not idle while the next request is on its way.
+	// exactSpare is the number of requests that wait at the owner of their keys
+	// itself, so that its slots do not idle while the next request is on its way.
 	exactSpare = 1.0
 	// windowShrink is what is left of the window after an upstream shed a request.
 	windowShrink = 0.7
@@ -46,8 +46,10 @@
 	Address    netip.AddrPort
 	DataCentre string
 	Slots      int
-	Cold       bool
-	Silent     bool
+	// Keyed is set where the service is divided by key.
+	Keyed  bool
+	Cold   bool
+	Silent bool
 	// Leaving upstreams get keyed requests only, until they have let go of the
 	// keys or LeaveBy has passed.
 	Leaving bool
@@ -90,7 +92,10 @@
 func newUpstream(target Target, now time.Time, exact bool) *upstream {
 	window := firstWindow * float64(max(1, target.Slots))
 	if exact {
-		window = float64(max(1, target.Slots)) + exactSpare
+		window = float64(max(1, target.Slots))
+	}
+	if exact && target.Keyed {
+		window += exactSpare
 	}
 	return &upstream{target: target, exact: exact, window: window, typical: firstTypical, coldAt: now}
 }
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -38,7 +38,7 @@
 	suspectFor = time.Second
 	// bearsHere is the expected wait in the own data centre above which others are
 	// asked, since answers that cross between data centres are dear.
-	bearsHere = 100 * time.Millisecond
+	bearsHere = 40 * time.Millisecond
 	// placesAsked bounds the other data centres that are asked.
 	placesAsked = 2
 	// doneTimeout bounds the return of a permit.
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -329,7 +329,7 @@
 		present[instance.Address] = true
 		target := admit.Target{
 			Owner: instance.Owner(), Service: instance.Service, Address: instance.Address,
-			DataCentre: instance.DataCentre, Slots: instance.Slots, Cold: instance.Cold, Silent: instance.Silent,
+			DataCentre: instance.DataCentre, Slots: instance.Slots, Keyed: service.Keyed, Cold: instance.Cold, Silent: instance.Silent,
 			ColdPerSecond: service.ColdPerSecond / float64(max(1, len(catalog.Entries))),
 		}
 		if !catalog.Wanted(instance) {
