--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -20,6 +20,8 @@
 	// leastWork is the part of the typical time, in tenths, that must be left for
 	// a request to be sent at all.
 	leastWorkTenths = 6
+	// goalWorkTenths is the same for an answer that should come before its goal.
+	goalWorkTenths = 12
 	// leastRetryAfter is the shortest time after which callers are told to return.
 	leastRetryAfter = 100 * time.Millisecond
 	// ownerPoll is how often a request whose key has no owner looks again.
@@ -374,12 +376,12 @@
 	if wait == 0 {
 		return nil
 	}
-	limit := ask.Deadline
+	limit, needed := ask.Deadline, work*leastWorkTenths/10
 	if ask.Goal.Before(limit) && now.Sub(service.overloadedAt) < overloadMemory {
-		limit = ask.Goal
+		limit, needed = ask.Goal, work*goalWorkTenths/10
 	}
 	left := limit.Sub(now)
-	if wait+work*leastWorkTenths/10 <= left {
+	if wait+needed <= left {
 		return nil
 	}
 	service.overloadedAt = now
