--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -286,7 +286,7 @@
 			switch {
 			case ctx.Err() != nil:
 				failure = FailureTimeout
-			case errors.Is(err, io.EOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &network):
+			case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &network):
 				failure = FailureLost
 			}
 			return nil, false, &SendError{Failure: failure, Cause: err}
--- /dev/null
+++ b/internal/dispatch/pool/pool_test.go
@@ -0,0 +1,204 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+// generous is a time that no answer on loopback takes.
+const generous = 30 * time.Second
+
+// script is what a stand-in upstream writes for each request that it reads on
+// one connection. It closes the connection after the last one.
+type script struct {
+	answers []string
+	// reset ends the connection with a reset rather than in order.
+	reset bool
+	// silent never answers and never closes.
+	silent bool
+}
+
+// standIn serves one script a connection, in order, and counts requests.
+type standIn struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	requests []string
+	conns    int
+}
+
+func startStandIn(t *testing.T, scripts ...script) *standIn {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	standin := &standIn{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, script := range scripts {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			standin.mutex.Lock()
+			standin.conns++
+			standin.mutex.Unlock()
+			go standin.serve(conn, script)
+		}
+	}()
+	return standin
+}
+
+func (standin *standIn) serve(conn net.Conn, script script) {
+	reader := bufio.NewReader(conn)
+	for _, answer := range script.answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			break
+		}
+		standin.mutex.Lock()
+		standin.requests = append(standin.requests, request.Header.Get("Id"))
+		standin.mutex.Unlock()
+		_, _ = conn.Write([]byte(answer))
+	}
+	if script.silent {
+		_, _ = reader.ReadByte()
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && script.reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func (standin *standIn) address() netip.AddrPort {
+	return netip.MustParseAddrPort(standin.listener.Addr().String())
+}
+
+func (standin *standIn) count() (requests, conns int) {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	return len(standin.requests), standin.conns
+}
+
+func newPool() *Pool {
+	return &Pool{
+		Clock:   clockwork.NewRealClock(),
+		Belongs: func(request *Request, header http.Header) bool { return header.Get("Id") == request.Header.Get("Id") },
+	}
+}
+
+func newRequest(id string) *Request {
+	return &Request{Method: http.MethodGet, Target: "/x?y=1", Host: "host", Header: http.Header{"Id": {id}}}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func TestSend(t *testing.T) {
+	cases := []struct {
+		name    string
+		script  script
+		body    string
+		failure Failure
+	}{
+		{"a whole answer", script{answers: []string{answer("1", "body")}}, "body", ""},
+		{"no length, ended in order", script{answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody"}}, "body", ""},
+		{"an interim answer first", script{answers: []string{"HTTP/1.1 100 Continue\r\n\r\n" + answer("1", "body")}}, "body", ""},
+		{"an answer of an earlier request first", script{answers: []string{answer("0", "other") + answer("1", "body")}}, "body", ""},
+		{"only an answer of an earlier request", script{answers: []string{answer("0", "other")}}, "", FailureLost},
+		{"cut in the body", script{answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nbody"}}, "", FailureLost},
+		{"reset before the answer", script{answers: []string{""}, reset: true}, "", FailureLost},
+		{"closed before the answer", script{answers: []string{""}}, "", FailureLost},
+		{"no answer at all", script{answers: []string{""}, silent: true}, "", FailureTimeout},
+		{"bytes that are no answer", script{answers: []string{"garbage\r\n\r\n"}, silent: true}, "", FailureGarbled},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			standin := startStandIn(t, testcase.script)
+			patience := generous
+			if testcase.failure == FailureTimeout {
+				patience = 200 * time.Millisecond
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			response, failure := newPool().Send(ctx, standin.address(), newRequest("1"))
+			if testcase.failure != FailureTimeout {
+				requests, _ := standin.count()
+				is.Equal(requests, 1) // sent once, whatever came back
+			}
+			if testcase.failure != "" {
+				is.True(failure != nil)
+				is.Equal(failure.Failure, testcase.failure)
+				is.True(failure.MayHaveRun())
+				return
+			}
+			is.Equal(failure, nil)
+			is.Equal(string(response.Body), testcase.body)
+		})
+	}
+}
+
+func TestClosedPort(t *testing.T) {
+	is := is.New(t)
+	standin := startStandIn(t)
+	is.NoErr(standin.listener.Close())
+	_, failure := newPool().Send(context.Background(), standin.address(), newRequest("1"))
+	is.True(failure != nil)
+	is.Equal(failure.Failure, FailureRefused)
+	is.True(!failure.MayHaveRun())
+	is.True(errors.Unwrap(failure) != nil)
+}
+
+// TestReuse keeps a connection for the next request, unless something is wrong
+// with it.
+func TestReuse(t *testing.T) {
+	cases := []struct {
+		name  string
+		first script
+		conns int
+	}{
+		{"kept", script{answers: []string{answer("1", ""), answer("2", "")}}, 1},
+		{"the upstream closes", script{answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"}}, 2},
+		{"a second answer follows", script{answers: []string{answer("1", "") + answer("1", "")}, silent: true}, 2},
+		{"no idle time", script{answers: []string{"HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"}, silent: true}, 2},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			standin := startStandIn(t, testcase.first, script{answers: []string{answer("2", "")}})
+			pool := newPool()
+			for _, id := range []string{"1", "2"} {
+				ctx, cancel := context.WithTimeout(context.Background(), generous)
+				_, failure := pool.Send(ctx, standin.address(), newRequest(id))
+				cancel()
+				is.Equal(failure, nil)
+			}
+			_, conns := standin.count()
+			is.Equal(conns, testcase.conns)
+			pool.Close()
+		})
+	}
+}
+
+func TestEndToEnd(t *testing.T) {
+	is := is.New(t)
+	header := EndToEnd(http.Header{
+		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"},
+		"Content-Length": {"3"}, "X-Kept": {"2"},
+	})
+	is.Equal(header, http.Header{"X-Kept": {"2"}})
+}
