--- a/internal/oper/cmds/cmds.go
+++ b/internal/oper/cmds/cmds.go
@@ -63,6 +63,7 @@
 	Token      tokenCommand      `cmd:"" help:"Make operators' tokens."`
 	Settings   settingsCommand   `cmd:"" help:"Work with settings files."`
 	Load       loadCommand       `cmd:"" help:"Send load and print the measures, to a fleet or to one started for the purpose."`
+	Explain    explainCommand    `cmd:"" help:"Print what all hosts decided about one request, in order, from their logs."`
 	Stand      standCommand      `cmd:"" help:"Run a stand-in upstream, to try an installation out."`
 	Bench      benchCommand      `cmd:"" help:"Measure slopes: the log, the forwarding hop, heartbeats and configuration over the number of hosts."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
