Move keys off upstreams that entry hosts do not reach

Change: entry hosts report requests without an answer; an upstream with four such and hardly an answer in 2 s owns no keys for 6 s.

--- a/internal/control/steer/model_test.go
+++ b/internal/control/steer/model_test.go
@@ -291,3 +291,46 @@
 	}
 	return spans.MaxKey + 1 - held
 }
+
+// TestUnreachedUpstreamLosesItsKeys lets an upstream's heartbeats come while entry
+// hosts get no answers from it.
+func TestUnreachedUpstreamLosesItsKeys(t *testing.T) {
+	world := newWorld(4)
+	prompt := func(*backend) (time.Duration, bool) { return 5 * time.Millisecond, false }
+	for range 500 {
+		world.step(prompt)
+	}
+	unreached := world.backends[1]
+	if len(unreached.holds) == 0 {
+		t.Fatal("the upstream holds no keys at first")
+	}
+	for range 300 {
+		world.step(prompt)
+		if world.clock.Now().UnixMilli()%400 == 0 {
+			world.poll(map[string]Work{
+				unreached.instance.ID:         {Failed: 3},
+				world.backends[0].instance.ID: {Count: 20, Total: 2 * time.Second, Failed: 1},
+			})
+		}
+	}
+	if len(unreached.holds) > 0 {
+		t.Fatal("the upstream that is not reached still holds keys")
+	}
+	if missing := world.unheld(); missing > 0 {
+		t.Fatalf("%d keys have no holder", missing)
+	}
+	for range 1500 {
+		world.step(prompt)
+	}
+	if len(world.backends[0].holds) == 0 {
+		t.Fatal("an upstream that fails now and then lost its keys")
+	}
+}
+
+// poll reports work as an entry host does.
+func (world *world) poll(work map[string]Work) {
+	_, err := world.steer.Poll(context.Background(), PollArgs{Entry: state.Entry{Name: "entry"}, Work: work})
+	if err != nil {
+		panic(err)
+	}
+}
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -99,10 +99,11 @@
 	instances := catalog.InstancesOf(service)
 	slices.SortFunc(instances, compareInstances)
 	warm := slices.ContainsFunc(instances, func(instance state.Instance) bool {
-		return catalog.Wanted(instance) && !instance.Cold && !instance.Silent
+		return catalog.Wanted(instance) && !instance.Cold && !instance.Silent && !steer.speeds.avoided(instance.ID, now)
 	})
 	for _, instance := range instances {
-		if catalog.Wanted(instance) && !instance.Silent && (!instance.Cold || !warm) {
+		avoided := warm && steer.speeds.avoided(instance.ID, now)
+		if catalog.Wanted(instance) && !instance.Silent && !avoided && (!instance.Cold || !warm) {
 			placement.candidates = append(placement.candidates, instance.Owner())
 			placement.nextBeat[instance.Owner()] = steer.nextBeat(instance.Owner(), now)
 		}
@@ -112,7 +113,8 @@
 		placement.free[span.Owner] = steer.holdsEnded(catalog, span.Owner, now)
 		if !placement.free[span.Owner] {
 			instance, known := catalog.Instances[span.Owner.ID]
-			leaving := !known || instance.Born != span.Owner.Born || !catalog.Wanted(instance)
+			leaving := !known || instance.Born != span.Owner.Born || !catalog.Wanted(instance) ||
+				warm && steer.speeds.avoided(instance.ID, now)
 			placement.setLeaving(span.Owner, leaving)
 		}
 	}
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -23,10 +23,12 @@
 	Members int
 }
 
-// Work is what requests to an upstream took, without waiting.
+// Work is what requests to an upstream took, without waiting, and how many got
+// no answer.
 type Work struct {
-	Total time.Duration
-	Count int
+	Total  time.Duration
+	Count  int
+	Failed int
 }
 
 // PollReply is the leader's answer.
@@ -79,7 +81,10 @@
 		loads.add(now, keys)
 	}
 	for upstream, work := range args.Work {
-		steer.speeds.add(upstream, work)
+		if steer.speeds.add(now, upstream, work) {
+			steer.log.WithField("upstream", upstream).WithField("until", now.Add(avoidFor).String()).
+				Info(logPrefix + "entry hosts do not reach an upstream")
+		}
 	}
 	reply := PollReply{Index: catalog.Index, Grant: steer.book.Grant(now, args.Report, hosts, rates)}
 	members := steer.node.Status().Members
--- a/internal/control/steer/speeds.go
+++ b/internal/control/steer/speeds.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/control/spans"
@@ -16,22 +17,44 @@
 	priorSamples = 4.0
 	// samplesKept bounds the samples that an average goes back.
 	samplesKept = 60.0
+	// reachTime is the time over which answers and failures are counted.
+	reachTime = 2 * time.Second
+	// lostFailures and lostRatio are the failures, and the answers in relation to
+	// them, at which an upstream counts as not reached.
+	lostFailures = 4.0
+	lostRatio    = 0.1
+	// avoidFor is how long an upstream that is not reached gets no keys.
+	avoidFor = 6 * time.Second
 	// leastWeight and mostWeight bound how unequally upstreams are loaded.
 	leastWeight = 0.4
 	mostWeight  = 2.5
 )
 
-// speed is what is known of how long an upstream works on a request.
+// speed is what is known of how long an upstream works on a request, and whether
+// entry hosts reach it.
 type speed struct {
 	total time.Duration
 	count float64
+	// answered and failed count lately; older ones fade.
+	answered, failed float64
+	at               time.Time
+	avoidUntil       time.Time
+}
+
+// fade lets old answers and failures count less.
+func (speed *speed) fade(now time.Time) {
+	factor := math.Exp(-now.Sub(speed.at).Seconds() / reachTime.Seconds())
+	speed.answered *= factor
+	speed.failed *= factor
+	speed.at = now
 }
 
 // speeds are the speeds of upstreams by ID. The zero value is ready to use.
 type speeds struct{ byID map[string]speed }
 
-// add notes what requests to an upstream took.
-func (speeds *speeds) add(upstream string, work Work) {
+// add notes what requests to an upstream took. It tells whether the upstream
+// turned out not to be reached: heartbeats still come, but answers do not.
+func (speeds *speeds) add(now time.Time, upstream string, work Work) bool {
 	if speeds.byID == nil {
 		speeds.byID = map[string]speed{}
 	}
@@ -42,7 +65,21 @@
 		known.total = time.Duration(float64(known.total) * samplesKept / known.count)
 		known.count = samplesKept
 	}
+	known.fade(now)
+	known.answered += float64(work.Count)
+	known.failed += float64(work.Failed)
+	lost := now.After(known.avoidUntil) && known.failed >= lostFailures && known.answered < known.failed*lostRatio
+	if lost {
+		known.avoidUntil = now.Add(avoidFor)
+	}
 	speeds.byID[upstream] = known
+	return lost
+}
+
+// avoided tells whether an upstream should own no keys, since entry hosts do not
+// reach it.
+func (speeds *speeds) avoided(upstream string, now time.Time) bool {
+	return now.Before(speeds.byID[upstream].avoidUntil)
 }
 
 // weights returns how much load each upstream bears in relation to the others,
--- a/internal/dispatch/admit/board.go
+++ b/internal/dispatch/admit/board.go
@@ -590,10 +590,11 @@
 	}
 }
 
-// Work is what requests to an upstream took.
+// Work is what requests to an upstream took, and how many got no answer.
 type Work struct {
-	Total time.Duration
-	Count int
+	Total  time.Duration
+	Count  int
+	Failed int
 }
 
 // Work returns what requests to each upstream took since the last call.
@@ -603,9 +604,11 @@
 	report := map[string]Work{}
 	for _, known := range board.services {
 		for owner, entry := range known.upstreams {
-			if entry.workCount > 0 {
-				report[owner.ID] = Work{Total: entry.work.Round(time.Millisecond), Count: entry.workCount}
-				entry.work, entry.workCount = 0, 0
+			if entry.workCount+entry.failures > 0 {
+				report[owner.ID] = Work{
+					Total: entry.work.Round(time.Millisecond), Count: entry.workCount, Failed: entry.failures,
+				}
+				entry.work, entry.workCount, entry.failures = 0, 0, 0
 			}
 		}
 	}
@@ -655,6 +658,16 @@
 	return places
 }
 
+// Failed notes that a request got no answer for which another board had given the
+// ticket.
+func (board *Board) Failed(owner spans.Owner, name string) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if entry, ok := board.service(name).upstreams[owner]; ok {
+		entry.failed(board.clock.Now())
+	}
+}
+
 // Count counts a request for a service towards the budget of repeats.
 func (board *Board) Count(name string) {
 	board.mutex.Lock()
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -87,6 +87,8 @@
 	// since the last report.
 	work      time.Duration
 	workCount int
+	// failures counts the requests since the last report that got no answer.
+	failures int
 }
 
 func newUpstream(target Target, now time.Time, exact bool) *upstream {
@@ -189,6 +191,7 @@
 
 // failed notes that the upstream could not be reached or did not answer.
 func (upstream *upstream) failed(now time.Time) {
+	upstream.failures++
 	upstream.pause = min(max(firstPause, 2*upstream.pause), maxPause)
 	upstream.pausedUntil = now.Add(upstream.pause)
 }
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -368,6 +368,9 @@
 		permit.ticket.Done(result, load)
 		return
 	}
+	if result == admit.ResultFailed {
+		desk.local.Failed(permit.Target.Owner, permit.ask.Service)
+	}
 	if result == admit.ResultAnswered {
 		desk.local.Learn(permit.Target.Owner, permit.ask.Service, desk.clock.Now().Sub(permit.began), load)
 	}
