Start with saved tokens after all hosts restarted

Change: where no host holds a part of an earlier leader, each bucket starts with a second of its rate, the least time in which nobody could spend.

--- a/internal/rates/share/bank.go
+++ b/internal/rates/share/bank.go
@@ -10,6 +10,9 @@
 	// on with its standing part, and after which the leader lends no more of that.
 	// Tokens lent ahead bridge most of it.
 	Reach = 800 * time.Millisecond
+	// restartTime is how long nobody spends tokens at least when all hosts have
+	// started anew: processes start and a leader is elected meanwhile.
+	restartTime = time.Second
 	// LoanTerm is how long lent tokens may be spent.
 	LoanTerm = 1300 * time.Millisecond
 	// aheadTime is the demand for which a host wants tokens ahead.
@@ -54,8 +57,11 @@
 	found, ok := book.banks[workspace]
 	if !ok {
 		found = &bank{at: now, level: rate.Burst * newTermPart}
-		if !now.Before(book.openAt) {
+		switch {
+		case !now.Before(book.openAt):
 			found.level = rate.Burst
+		case book.anew:
+			found.level = min(rate.Burst, rate.PerSecond*restartTime.Seconds())
 		}
 		book.banks[workspace] = found
 	}
--- a/internal/rates/share/book.go
+++ b/internal/rates/share/book.go
@@ -91,6 +91,9 @@
 	openAt time.Time
 	// allKnown is set once every host that may hold parts has reported.
 	allKnown bool
+	// anew is set where all of them had just started: nobody lent or spent anything
+	// for a while.
+	anew bool
 }
 
 // termShift leaves room for a term's grants below the number of the term.
@@ -205,7 +208,23 @@
 			return false
 		}
 	}
-	book.allKnown = true
+	if !book.allKnown {
+		book.allKnown, book.anew = true, book.nobodyHolds(now)
+	}
+	return true
+}
+
+// nobodyHolds tells whether no host came with parts of an earlier leader.
+func (book *Book) nobodyHolds(now time.Time) bool {
+	for _, account := range book.hosts {
+		for _, grant := range account.grants {
+			for _, part := range grant.parts {
+				if part > 0 && now.Before(grant.until) {
+					return false
+				}
+			}
+		}
+	}
 	return true
 }
 
--- a/internal/rates/share/share_test.go
+++ b/internal/rates/share/share_test.go
@@ -169,3 +169,22 @@
 	served, _ := step(100)
 	is.True(served < 200) // parts have ended
 }
+
+// TestAllStartAnew restarts all hosts and the leader at once: what was saved up
+// while nobody could spend is there at once.
+func TestAllStartAnew(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(4, Rate{PerSecond: 40, Burst: 40})
+	fleet.book.Reset(fleet.now, 2)
+	for number := range fleet.hosts {
+		fleet.poll(number, false)
+	}
+	refused := 0
+	fleet.now = fleet.now.Add(50 * time.Millisecond)
+	for round := range 20 {
+		if !fleet.request(round % len(fleet.hosts)) {
+			refused++
+		}
+	}
+	is.Equal(refused, 0)
+}
