--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -250,7 +250,7 @@
 			continue
 		}
 		gap := (placement.nextBeat[candidate] - placement.nextBeat[from] - releaseTime + 2*usualInterval) % usualInterval
-		if cost := gap.Seconds()/usualInterval.Seconds() - room; cost < bestCost {
+		if cost := gapWeight*gap.Seconds()/usualInterval.Seconds() - room; cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -326,6 +326,9 @@
 	// releaseTime is how long an upstream takes to release keys, from its heartbeat
 	// on: it sends another one within 100 ms once their requests have ended.
 	releaseTime = 130 * time.Millisecond
+	// gapWeight is how much a heartbeat interval without a holder counts against a
+	// taker, in units of its room.
+	gapWeight = 2.0
 	// settleMargin is added to the time of a heartbeat for its way.
 	settleMargin = 25 * time.Millisecond
 	// usualInterval is the time between heartbeats that is assumed of an upstream
