--- a/internal/dispatch/admit/pattern_test.go
+++ b/internal/dispatch/admit/pattern_test.go
@@ -32,7 +32,6 @@
 type arrival struct {
 	at       time.Time
 	priority int
-	key      uint16
 }
 
 // tally counts how requests ended.
@@ -42,12 +41,11 @@
 	refusedEarly int
 }
 
-// model runs a board against upstreams with two slots each.
+// model runs a board against four upstreams with two slots each.
 type model struct {
 	clock   *clockwork.FakeClock
 	board   *Board
 	service time.Duration
-	slots   int
 	waiting []pending
 	running []running
 	tallies map[int]*tally
@@ -58,12 +56,12 @@
 	waiting *Waiting
 }
 
-func newModel(upstreams, slots int) *model {
+func newModel() *model {
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	model := &model{
-		clock: clock, board: NewExact(clock, 1), service: work, slots: slots, tallies: map[int]*tally{},
+		clock: clock, board: NewExact(clock, 1), service: work, tallies: map[int]*tally{},
 	}
-	model.board.Update(jobs, targets(upstreams, slots), spans.Table{})
+	model.board.Update(jobs, targets(4, 2), spans.Table{})
 	return model
 }
 
@@ -174,7 +172,7 @@
 // early.
 func TestBurstOverCapacity(t *testing.T) {
 	is := is.New(t)
-	model := newModel(4, 2)
+	model := newModel()
 	model.play(10*time.Second, func(millisecond int) map[int]int {
 		if millisecond%25 == 0 {
 			return map[int]int{1: 4}
@@ -192,7 +190,7 @@
 // would fit, are all served in time.
 func TestUrgentFirst(t *testing.T) {
 	is := is.New(t)
-	model := newModel(4, 2)
+	model := newModel()
 	model.play(10*time.Second, func(millisecond int) map[int]int {
 		wanted := map[int]int{}
 		if millisecond%25 == 0 {
@@ -212,7 +210,7 @@
 // TestNoRefusalBelowCapacity sends nine tenths of the capacity evenly.
 func TestNoRefusalBelowCapacity(t *testing.T) {
 	is := is.New(t)
-	model := newModel(4, 2)
+	model := newModel()
 	model.play(10*time.Second, every(14, 1))
 	tally := model.tally(1)
 	is.Equal(tally.refused, 0)
@@ -223,7 +221,7 @@
 // between goal and deadline, so they are served rather than refused.
 func TestShortBurstIsServed(t *testing.T) {
 	is := is.New(t)
-	model := newModel(4, 2)
+	model := newModel()
 	model.play(time.Second, func(millisecond int) map[int]int {
 		if millisecond == 0 {
 			return map[int]int{1: 40}
