--- a/internal/dispatch/admit/pattern_test.go
+++ b/internal/dispatch/admit/pattern_test.go
@@ -61,15 +61,15 @@
 	model := &model{
 		clock: clock, board: NewExact(clock, 1), service: work, tallies: map[int]*tally{},
 	}
-	model.board.Update(jobs, targets(4, 2), spans.Table{})
+	model.board.Update(jobs, targets(4), spans.Table{})
 	return model
 }
 
-func targets(count, slots int) []Target {
+func targets(count int) []Target {
 	var targets []Target
 	for number := range count {
 		targets = append(targets, Target{
-			Owner: spans.Owner{ID: fmt.Sprint("up-", number), Born: 1}, Service: jobs, Slots: slots, DataCentre: "here",
+			Owner: spans.Owner{ID: fmt.Sprint("up-", number), Born: 1}, Service: jobs, Slots: 2, DataCentre: "here",
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), 80),
 		})
 	}
@@ -242,7 +242,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	board := NewExact(clock, 1)
-	cold := targets(1, 2)
+	cold := targets(1)
 	cold[0].Cold, cold[0].ColdPerSecond = true, 4
 	board.Update(jobs, cold, spans.Table{})
 	given := 0
@@ -268,7 +268,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	board := NewExact(clock, 1)
-	both := targets(2, 2)
+	both := targets(2)
 	both[0].Cold, both[0].ColdPerSecond = true, 100
 	board.Update(jobs, both, spans.Table{})
 	clock.Advance(time.Second)
@@ -286,7 +286,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	board := NewBoard("here", clock, 1)
-	both := targets(2, 2)
+	both := targets(2)
 	table, err := spans.Table{}.Apply(1, []spans.Change{{From: 0, To: spans.MaxKey, Owner: both[0].Owner}})
 	is.NoErr(err)
 	board.Update(jobs, both, table)
@@ -319,7 +319,7 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	board := NewExact(clock, 1)
-	both := targets(2, 2)
+	both := targets(2)
 	board.Update(jobs, both, spans.Table{})
 	shed, served := 0, 0
 	for number := range 1000 {
