Bound each try at a silent control leader

Change: tries of questions to the leader end after 0.4 s, of commands after 0.7 s.

Ruled out: longer holds; they keep the keys of lost upstreams unserved for longer.

--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -13,6 +13,12 @@
 const (
 	// callTimeout bounds one call, so that a silent control host costs little.
 	callTimeout = 1500 * time.Millisecond
+	// leaderTimeout bounds one try of a question that the leader answers from
+	// memory or with one commit. It is well below the second that upstreams and
+	// operators wait, so that a silent leader leaves time to find the next one.
+	leaderTimeout = 400 * time.Millisecond
+	// proposeTry is the same for commands, which wait for disks.
+	proposeTry = 700 * time.Millisecond
 	retryPause  = 20 * time.Millisecond
 	fetchSlack  = 500 * time.Millisecond
 )
@@ -49,7 +55,7 @@
 	var result state.Result
 	err = client.onLeader(ctx, func(wire *wire) (bool, string, error) {
 		reply := ProposeReply{}
-		if err := wire.call("Control.Propose", ProposeArgs{Command: data}, &reply, callTimeout); err != nil {
+		if err := wire.call("Control.Propose", ProposeArgs{Command: data}, &reply, proposeTry); err != nil {
 			return false, "", err
 		}
 		result = reply.Result
@@ -165,7 +171,7 @@
 	var reply T
 	err := client.onLeader(ctx, func(wire *wire) (bool, string, error) {
 		var fresh T
-		if err := wire.call(method, args, P(&fresh), callTimeout); err != nil {
+		if err := wire.call(method, args, P(&fresh), leaderTimeout); err != nil {
 			return false, "", err
 		}
 		reply = fresh
