Wait for room on a full disk instead of ending

Change: a write without room is cut back and tried again; the member takes no part in consensus meanwhile.

--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -1,6 +1,9 @@
 package group
 
 import (
+	"errors"
+	"syscall"
+
 	"damaskcrank.example/damaskcrank/internal/control/raft"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
@@ -146,6 +149,10 @@
 // finishSnapshot drops the entries that a written snapshot covers.
 func (node *Node) finishSnapshot(message snapshotRequest, work *turnWork) {
 	node.snapshotOn = false
+	if errors.Is(message.err, syscall.ENOSPC) {
+		node.options.Log.WithError(message.err).Warn(logPrefix + "no room for a snapshot, the log stays")
+		return
+	}
 	if message.err != nil {
 		node.failed = Error.New("write snapshot: %w", message.err)
 		return
--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -19,8 +19,8 @@
 	leaderTimeout = 400 * time.Millisecond
 	// proposeTry is the same for commands, which wait for disks.
 	proposeTry = 700 * time.Millisecond
-	retryPause  = 20 * time.Millisecond
-	fetchSlack  = 500 * time.Millisecond
+	retryPause = 20 * time.Millisecond
+	fetchSlack = 500 * time.Millisecond
 )
 
 // Client lets a host talk to the control group. It is safe for concurrent use.
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	// Options.Timing says otherwise.
 	HeartbeatInterval = 40 * time.Millisecond
 	tickInterval      = 10 * time.Millisecond
+	// fullPause is how long a member waits before it writes to a full disk again.
+	fullPause = 100 * time.Millisecond
 	// applyPoll is how often a read looks whether its entry is applied.
 	applyPoll = 5 * time.Millisecond
 	inboxSize = 4096
@@ -374,7 +377,7 @@
 		outputs := work.outputs
 		work.outputs = nil
 		node.sendEarly(outputs)
-		last, err := node.persist(outputs)
+		last, err := node.persistWhenRoom(outputs)
 		if err != nil {
 			node.failed = err
 			return
@@ -389,6 +392,30 @@
 	}
 }
 
+// persistWhenRoom waits while the disk is full. The member takes no part in
+// consensus meanwhile, as if it were paused.
+func (node *Node) persistWhenRoom(outputs []raft.Output) (uint64, error) {
+	told := false
+	for {
+		last, err := node.persist(outputs)
+		if !errors.Is(err, store.ErrFull) {
+			if told {
+				node.options.Log.Info(logPrefix + "the disk has room again")
+			}
+			return last, err
+		}
+		if !told {
+			told = true
+			node.options.Log.Warn(logPrefix + "the disk is full, waiting for room")
+		}
+		select {
+		case <-node.stop:
+			return 0, err
+		case <-node.options.Clock.After(fullPause):
+		}
+	}
+}
+
 // persist syncs the outputs in one write and returns the last index synced.
 func (node *Node) persist(outputs []raft.Output) (uint64, error) {
 	batch := store.Batch{}
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/zeebo/errs"
 
@@ -52,9 +53,17 @@
 type Disk struct {
 	folder string
 	log    *os.File
+	// size is the length in bytes of what is synced to the log.
+	size   int64
 	failed error
+	// write replaces the log's own method in tests.
+	write func(data []byte) (int, error)
 }
 
+// ErrFull says that the disk has no room. What was to be written was not, and
+// writing it may be tried again.
+var ErrFull = Error.New("the disk is full")
+
 // Open reads the folder, which it creates if needed, and cuts an unfinished
 // last write off. Damage before the last write is an error that says what to
 // do, since entries that were acknowledged may be lost.
@@ -193,12 +202,12 @@
 	if disk.log != nil {
 		_ = disk.log.Close()
 	}
-	disk.log = file
+	disk.log, disk.size = file, size
 	return disk.syncFolder()
 }
 
-// Save appends the batch and syncs it. After an error the disk refuses all
-// further writes: what a failed sync left behind is unknown.
+// Save appends the batch and syncs it. After an error other than ErrFull the disk
+// refuses all further writes: what a failed sync left behind is unknown.
 func (disk *Disk) Save(batch Batch) error {
 	if disk.failed != nil {
 		return disk.failed
@@ -207,12 +216,39 @@
 	if err != nil {
 		return Error.New("save: %w", err)
 	}
-	if _, err := disk.log.Write(codec.Frame(payload)); err != nil {
+	frame := codec.Frame(payload)
+	if err := disk.append(frame); err != nil {
+		if errors.Is(err, syscall.ENOSPC) && disk.cutBack() == nil {
+			return ErrFull
+		}
 		return disk.fail(Error.New("write log: %w", err))
 	}
 	if err := disk.log.Sync(); err != nil {
 		return disk.fail(Error.New("sync log: %w", err))
 	}
+	disk.size += int64(len(frame))
+	return nil
+}
+
+func (disk *Disk) append(frame []byte) error {
+	write := disk.log.Write
+	if disk.write != nil {
+		write = disk.write
+	}
+	if _, err := write(frame); err != nil {
+		return Error.New("%w", err)
+	}
+	return nil
+}
+
+// cutBack takes away the part of a frame that found room.
+func (disk *Disk) cutBack() error {
+	if err := disk.log.Truncate(disk.size); err != nil {
+		return Error.New("cut log back: %w", err)
+	}
+	if _, err := disk.log.Seek(disk.size, 0); err != nil {
+		return Error.New("seek log: %w", err)
+	}
 	return nil
 }
 
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -1,9 +1,11 @@
 package store
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -139,3 +141,29 @@
 	is.True(disk.Save(Batch{}) != nil)
 	is.True(disk.TrimLog(raft.HardState{}, nil) != nil) // nothing is written after a failure
 }
+
+// TestFullDisk refuses a batch without room, half of which was written; it can be
+// written again once there is room, and nothing of the first try is left.
+func TestFullDisk(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	disk, _, err := Open(folder)
+	is.NoErr(err)
+	is.NoErr(disk.Save(Batch{Entries: []raft.Entry{entryAt(1, 1, "one")}}))
+	disk.write = func(data []byte) (int, error) {
+		written, _ := disk.log.Write(data[:len(data)/2])
+		return written, syscall.ENOSPC
+	}
+	second := Batch{Entries: []raft.Entry{entryAt(2, 1, "two")}}
+	for range 3 {
+		is.True(errors.Is(disk.Save(second), ErrFull))
+	}
+	disk.write = nil
+	is.NoErr(disk.Save(second))
+	is.NoErr(disk.Close())
+	again, restored, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(len(restored.Entries), 2)
+	is.Equal(restored.TornBytes, 0)
+	is.NoErr(again.Close())
+}
