Hold keys for 3.6 s

Longer holds bridge the loss of two control hosts, shorter ones free the keys of a third of the upstreams that fall silent; the middle is taken.

--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -24,7 +24,7 @@
 const (
 	// HoldTime is how long an upstream holds its keys after it sent a heartbeat.
 	// It bridges the loss of the control leader.
-	HoldTime = 3200 * time.Millisecond
+	HoldTime = 3600 * time.Millisecond
 	// holdEnd is when a hold has surely ended, counted from when the heartbeat
 	// came in: clocks of upstreams may run 2 % slow.
 	holdEnd = HoldTime + HoldTime/25
