Send the whole catalog compressed, with time to arrive

The whole catalog had 1.5 s on a link of 2.1 Mbit/s and was asked for anew each time, from one control host.

Change: it is compressed once for all hosts, has 7 s, and hosts start with different control hosts. Fetches that fail and work again are logged.

--- a/internal/base/codec/codec_test.go
+++ b/internal/base/codec/codec_test.go
@@ -44,3 +44,16 @@
 		ContainsFrame(data)
 	})
 }
+
+func TestCompress(t *testing.T) {
+	is := is.New(t)
+	data := bytes.Repeat([]byte("the same again "), 1000)
+	packed, err := Compress(data)
+	is.NoErr(err)
+	is.True(len(packed) < len(data)/10)
+	again, err := Decompress(packed)
+	is.NoErr(err)
+	is.Equal(again, data)
+	_, err = Decompress(packed[:len(packed)/2])
+	is.True(err != nil) // cut on its way
+}
--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -4,6 +4,7 @@
 	"errors"
 	"syscall"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/raft"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
@@ -104,12 +105,11 @@
 func (node *Node) fetchReply(after, index uint64) FetchReply {
 	reply := FetchReply{Upto: index}
 	if after < node.deltaBase {
-		catalog, err := node.machine.Catalog.Encode()
-		if err != nil {
+		if err := node.packCatalog(); err != nil {
 			node.options.Log.WithError(err).Error(logPrefix + "the catalog can't be sent")
 			return FetchReply{}
 		}
-		reply.Catalog = catalog
+		reply.Catalog = node.packed.data
 		return reply
 	}
 	for _, delta := range node.deltas {
@@ -120,6 +120,31 @@
 	return reply
 }
 
+// packedCatalog is a catalog as hosts get it that know none. After a loss of all
+// hosts many ask for it at once.
+type packedCatalog struct {
+	catalog *state.Catalog
+	data    []byte
+}
+
+// packCatalog encodes and compresses the present catalog, unless that is done.
+func (node *Node) packCatalog() error {
+	catalog := node.machine.Catalog
+	if node.packed.catalog == catalog {
+		return nil
+	}
+	encoded, err := catalog.Encode()
+	if err != nil {
+		return Error.New("pack catalog: %w", err)
+	}
+	data, err := codec.Compress(encoded)
+	if err != nil {
+		return Error.New("pack catalog: %w", err)
+	}
+	node.packed = packedCatalog{catalog: catalog, data: data}
+	return nil
+}
+
 // startSnapshot encodes and writes a snapshot beside the loop.
 func (node *Node) startSnapshot() {
 	index := node.machine.Catalog.Index
--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	proposeTry = 700 * time.Millisecond
 	retryPause = 20 * time.Millisecond
 	fetchSlack = 500 * time.Millisecond
+	// wholeSlack is how long the whole catalog may take beyond the wait.
+	wholeSlack = 6 * time.Second
 )
 
 // Client lets a host talk to the control group. It is safe for concurrent use.
@@ -39,6 +42,11 @@
 // NewClient returns a client of the control hosts at the addresses.
 func NewClient(addresses []netip.AddrPort, secret trust.Secret) *Client {
 	client := &Client{secret: secret}
+	if len(addresses) > 0 {
+		// Hosts that start together ask different control hosts.
+		client.source = rand.IntN(len(addresses)) //nolint:gosec // spreads load, guards nothing
+		client.leader = client.source
+	}
 	for _, address := range addresses {
 		client.wires = append(client.wires, newWire(address, secret))
 	}
@@ -208,7 +216,11 @@
 	client.mutex.Unlock()
 	reply := FetchReply{}
 	args := FetchArgs{After: after, Wait: wait}
-	err := source.call("Control.Fetch", args, &reply, wait+fetchSlack)
+	slack := fetchSlack
+	if after == 0 {
+		slack = wholeSlack // the whole catalog, over a link that may be narrow
+	}
+	err := source.call("Control.Fetch", args, &reply, wait+slack)
 	if err != nil || reply.Upto < after {
 		client.NextSource()
 	}
--- a/internal/control/group/client_test.go
+++ b/internal/control/group/client_test.go
@@ -25,6 +25,7 @@
 		t.Run(testcase.name, func(t *testing.T) {
 			is := is.New(t)
 			client := NewClient([]netip.AddrPort{seed, other}, trust.Secret("secret"))
+			client.leader = 0
 			client.moveOn(0, testcase.hint)
 			_, wire, _ := client.position()
 			is.Equal(wire.address, testcase.want)
--- a/internal/control/group/group_test.go
+++ b/internal/control/group/group_test.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/raft"
 	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
@@ -347,7 +348,9 @@
 	fresh, err := cluster.client.Fetch(0, 0)
 	is.NoErr(err)
 	is.True(fresh.Catalog != nil)
-	catalog, err := state.DecodeCatalog(fresh.Catalog)
+	encoded, err := codec.Decompress(fresh.Catalog)
+	is.NoErr(err)
+	catalog, err := state.DecodeCatalog(encoded)
 	is.NoErr(err)
 	is.Equal(catalog.Records[spec.ID{Kind: spec.KindWorkspace, Name: "w"}].Version, uint64(300))
 	lagging, err := cluster.client.Fetch(last-200, 0)
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -31,8 +31,8 @@
 	Wait  time.Duration
 }
 
-// FetchReply brings a host's catalog up to Upto: by the whole catalog where it
-// is set, else by the deltas.
+// FetchReply brings a host's catalog up to Upto: by the whole catalog, compressed,
+// where it is set, else by the deltas.
 type FetchReply struct {
 	Upto    uint64
 	Deltas  []Delta
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -130,6 +130,7 @@
 	// contacts are the addresses that members' messages came from.
 	contacts   map[raft.MemberID]netip.AddrPort
 	roster     roster
+	packed     packedCatalog
 	snapshotOn bool
 	changed    chan struct{}
 	server     *server
--- a/internal/control/group/wire.go
+++ b/internal/control/group/wire.go
@@ -14,7 +14,7 @@
 
 const (
 	dialTimeout      = 300 * time.Millisecond
-	handshakeTimeout = 300 * time.Millisecond
+	handshakeTimeout = time.Second
 	deliverTimeout   = 2 * time.Second
 	redialPause      = 20 * time.Millisecond
 )
--- a/internal/peer/fetch/fetch.go
+++ b/internal/peer/fetch/fetch.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/zeebo/errs"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
@@ -43,6 +44,8 @@
 	watchers    []chan struct{}
 	stop        chan struct{}
 	done        chan struct{}
+	// lost is set while fetches fail; only the task uses it.
+	lost bool
 }
 
 // NewFollower starts to follow from an empty catalog.
@@ -95,8 +98,8 @@
 		if err == nil {
 			err = follower.take(reply)
 		}
+		follower.noteContact(err)
 		if err != nil {
-			follower.log.WithError(err).Debug(logPrefix + "a fetch failed")
 			follower.pause()
 			continue
 		}
@@ -108,6 +111,19 @@
 	}
 }
 
+// noteContact logs when changes stop to come, and when they come again.
+func (follower *Follower) noteContact(err error) {
+	if follower.lost == (err != nil) {
+		return
+	}
+	follower.lost = err != nil
+	if follower.lost {
+		follower.log.WithError(err).WithField("version", follower.Catalog().Index).Warn(logPrefix + "changes do not come")
+		return
+	}
+	follower.log.WithField("version", follower.Catalog().Index).Info(logPrefix + "changes come again")
+}
+
 func (follower *Follower) pause() {
 	select {
 	case <-follower.stop:
@@ -121,7 +137,11 @@
 	catalog := follower.Catalog()
 	before := catalog.Index
 	if reply.Catalog != nil {
-		whole, err := state.DecodeCatalog(reply.Catalog)
+		encoded, err := codec.Decompress(reply.Catalog)
+		if err != nil {
+			return Error.New("take catalog: %w", err)
+		}
+		whole, err := state.DecodeCatalog(encoded)
 		if err != nil {
 			return Error.New("take catalog: %w", err)
 		}
--- a/internal/peer/fetch/fetch_test.go
+++ b/internal/peer/fetch/fetch_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
@@ -53,7 +54,9 @@
 func TestNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	follower, _ := newTestFollower(0)
-	old, err := (&state.Catalog{Index: 1}).Encode()
+	encoded, err := (&state.Catalog{Index: 1}).Encode()
+	is.NoErr(err)
+	old, err := codec.Compress(encoded)
 	is.NoErr(err)
 	for _, reply := range []group.FetchReply{
 		{Upto: 3, Deltas: []group.Delta{delta(t, 2, "a"), delta(t, 3, "b")}},
