Give fetches a connection of their own

Ruled out: the queue of new connections alone; the size of the catalog alone.

Change: each control host has two connections. A test whose fetch fails when the connection of short calls ends passes now.

--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	proposeTry = 700 * time.Millisecond
 	retryPause = 20 * time.Millisecond
 	fetchSlack = 500 * time.Millisecond
+	// firstIndex is the index of a group that has committed nothing yet.
+	firstIndex = 1
 	// wholeSlack is how long the whole catalog may take beyond the wait.
 	wholeSlack = 6 * time.Second
 )
@@ -30,8 +33,10 @@
 type Client struct {
 	secret trust.Secret
 	mutex  sync.Mutex
-	// wires only grows.
-	wires []*wire
+	// wires only grows. Each has a twin in fetches, since a short call that is late
+	// behind a long catalog would end the connection that carries both.
+	wires   []*wire
+	fetches []*wire
 	// leader is the position of the wire that last led to the leader.
 	leader int
 	source int
@@ -48,11 +53,17 @@
 		client.leader = client.source
 	}
 	for _, address := range addresses {
-		client.wires = append(client.wires, newWire(address, secret))
+		client.add(address)
 	}
 	return client
 }
 
+// add adds a control host; the mutex is held or the client not shared yet.
+func (client *Client) add(address netip.AddrPort) {
+	client.wires = append(client.wires, newWire(address, client.secret))
+	client.fetches = append(client.fetches, newWire(address, client.secret))
+}
+
 // Propose commits a command and returns its result. It follows the leader and
 // repeats the command until the context ends: commands bear being repeated.
 func (client *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
@@ -212,12 +223,12 @@
 // host; it turns to the next one after a failure.
 func (client *Client) Fetch(after uint64, wait time.Duration) (FetchReply, error) {
 	client.mutex.Lock()
-	source := client.wires[client.source]
+	source := client.fetches[client.source]
 	client.mutex.Unlock()
 	reply := FetchReply{}
 	args := FetchArgs{After: after, Wait: wait}
 	slack := fetchSlack
-	if after == 0 {
+	if after <= firstIndex {
 		slack = wholeSlack // the whole catalog, over a link that may be narrow
 	}
 	err := source.call("Control.Fetch", args, &reply, wait+slack)
@@ -247,7 +258,7 @@
 	if client.near[client.wires[client.source].address] {
 		return
 	}
-	for position, wire := range client.wires {
+	for position, wire := range client.fetches {
 		if client.near[wire.address] && !wire.resting() {
 			client.source = position
 			return
@@ -257,7 +268,9 @@
 
 // Close ends all connections.
 func (client *Client) Close() {
-	for _, wire := range client.all() {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	for _, wire := range slices.Concat(client.wires, client.fetches) {
 		wire.close()
 	}
 }
--- a/internal/control/group/client_test.go
+++ b/internal/control/group/client_test.go
@@ -1,8 +1,10 @@
 package group
 
 import (
+	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -40,3 +42,26 @@
 	client.Learn([]netip.AddrPort{other, seed, other})
 	is.Equal(len(client.all()), 2)
 }
+
+// TestLateCallLeavesFetches ends the connection of short calls, as after one that
+// was late, and looks whether fetches have another one.
+func TestLateCallLeavesFetches(t *testing.T) {
+	is := is.New(t)
+	cluster := startCluster(t, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Second)
+	defer cancel()
+	cluster.leader(ctx)
+	fetched := make(chan error, 1)
+	go func() {
+		_, err := cluster.client.Fetch(1<<40, time.Second) // waits for news that do not come
+		fetched <- err
+	}()
+	for cluster.client.fetches[0].open() == nil && ctx.Err() == nil {
+		<-time.After(time.Millisecond)
+	}
+	_, err := cluster.client.LeaderStatus(ctx)
+	is.NoErr(err)
+	wire := cluster.client.wires[0]
+	wire.drop(wire.open())
+	is.NoErr(<-fetched)
+}
--- a/internal/control/group/roster.go
+++ b/internal/control/group/roster.go
@@ -250,7 +250,7 @@
 	for _, address := range addresses {
 		known := slices.ContainsFunc(client.wires, func(wire *wire) bool { return wire.address == address })
 		if !known {
-			client.wires = append(client.wires, newWire(address, client.secret))
+			client.add(address)
 		}
 	}
 }
--- a/internal/control/group/wire.go
+++ b/internal/control/group/wire.go
@@ -58,6 +58,13 @@
 	return wire.client, nil
 }
 
+// open returns the open connection, or nil.
+func (wire *wire) open() *rpc.Client {
+	wire.mutex.Lock()
+	defer wire.mutex.Unlock()
+	return wire.client
+}
+
 // resting tells whether the host did not answer a moment ago.
 func (wire *wire) resting() bool {
 	wire.mutex.Lock()
