Send a request to no more upstreams than its route allows

Cause: found by reading: an idempotent request that was lost went to further upstreams as long as the budget of repeats lasted, whatever the route's attempts.

Change: upstreams that may have begun a request are counted. Tests of all outcomes of a request before scripted upstreams; the one of attempts fails before.

--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"damaskcrank.example/damaskcrank/internal/control/raft"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
 )
@@ -64,6 +65,42 @@
 	client.fetches = append(client.fetches, newWire(address, client.secret))
 }
 
+// join asks every known control host, and learns of others.
+func (client *Client) join(self raft.Member) {
+	for _, wire := range client.all() {
+		if wire.address == self.Address {
+			continue
+		}
+		reply := JoinReply{}
+		if err := wire.call("Control.Join", JoinArgs{Member: self}, &reply, joinTimeout); err != nil {
+			continue // the next host may answer; the question is repeated anyway
+		}
+		client.Learn(reply.Members)
+		if reply.Member {
+			return
+		}
+	}
+}
+
+// Learn adds control hosts to those that the client knows.
+func (client *Client) Learn(addresses []netip.AddrPort) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	for _, address := range addresses {
+		known := slices.ContainsFunc(client.wires, func(wire *wire) bool { return wire.address == address })
+		if !known {
+			client.add(address)
+		}
+	}
+}
+
+// all returns the connections to all known control hosts.
+func (client *Client) all() []*wire {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return slices.Clone(client.wires)
+}
+
 // Propose commits a command and returns its result. It follows the leader and
 // repeats the command until the context ends: commands bear being repeated.
 func (client *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
--- a/internal/control/group/roster.go
+++ b/internal/control/group/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -225,39 +224,3 @@
 		}
 	}
 }
-
-// join asks every known control host, and learns of others.
-func (client *Client) join(self raft.Member) {
-	for _, wire := range client.all() {
-		if wire.address == self.Address {
-			continue
-		}
-		reply := JoinReply{}
-		if err := wire.call("Control.Join", JoinArgs{Member: self}, &reply, joinTimeout); err != nil {
-			continue // the next host may answer; the question is repeated anyway
-		}
-		client.Learn(reply.Members)
-		if reply.Member {
-			return
-		}
-	}
-}
-
-// Learn adds control hosts to those that the client knows.
-func (client *Client) Learn(addresses []netip.AddrPort) {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	for _, address := range addresses {
-		known := slices.ContainsFunc(client.wires, func(wire *wire) bool { return wire.address == address })
-		if !known {
-			client.add(address)
-		}
-	}
-}
-
-// all returns the connections to all known control hosts.
-func (client *Client) all() []*wire {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	return slices.Clone(client.wires)
-}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -144,7 +144,8 @@
 	sends     int
 	// mayHaveRun is set once an upstream may have begun the request.
 	mayHaveRun bool
-	tried      []string
+	// runs is the number of upstreams that may have begun it.
+	runs int
 }
 
 // ServeHTTP answers one request.
@@ -386,6 +387,7 @@
 	}
 	if failure.MayHaveRun() {
 		visit.mayHaveRun = true
+		visit.runs++
 	}
 	visit.note("the upstream gave no answer", ticket, log.Fields{
 		"failure": string(failure.Failure), "cause": failure.Cause.Error(), "mayHaveRun": visit.mayHaveRun,
@@ -394,7 +396,7 @@
 		visit.fail("timeout")
 		return false
 	}
-	if visit.mayHaveRun && !visit.route.Idempotent {
+	if visit.mayHaveRun && !visit.route.Idempotent || visit.runs >= visit.route.Attempts {
 		visit.fail(string(failure.Failure))
 		return false
 	}
@@ -405,7 +407,6 @@
 // not.
 func (visit *visit) repeat(reason string, ticket *permit.Permit) bool {
 	relay := visit.relay
-	visit.tried = append(visit.tried, ticket.Target.Owner.ID)
 	if !relay.Board.MayRepeat(visit.service) {
 		relay.Stats.Retried("overBudget")
 		visit.giveUp(&admit.Refusal{Reason: admit.Reason(reason + "OverBudget"), RetryAfter: hostRetryAfter})
--- /dev/null
+++ b/internal/entry/relay/relay_test.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
+	"damaskcrank.example/damaskcrank/internal/rates/share"
+)
+
+// protocol reads plain header fields.
+type protocol struct{}
+
+func (protocol) Caller(header http.Header) Caller {
+	return Caller{ID: header.Get("Id"), Key: header.Get("Key"), Patience: 20 * time.Second}
+}
+
+func (protocol) Outgoing(header http.Header, order Order) {
+	header.Del("Key")
+	header.Set("Workspace", order.Workspace)
+}
+
+func (protocol) Answer(status int, header http.Header) Answer {
+	return Answer{NotRun: header.Get("Not-Run") != "", Misplaced: status == http.StatusMisdirectedRequest}
+}
+
+// upstreams answers each request by a script, the last one again and again, and
+// counts requests.
+type upstreams struct {
+	listener net.Listener
+	answers  []string
+	requests atomic.Int64
+}
+
+func startUpstreams(t *testing.T, answers ...string) *upstreams {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	upstreams := &upstreams{listener: listener, answers: answers}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go upstreams.serve(conn)
+		}
+	}()
+	return upstreams
+}
+
+func (upstreams *upstreams) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		number := int(upstreams.requests.Add(1)) - 1
+		answer := upstreams.answers[min(number, len(upstreams.answers)-1)]
+		if answer == lost {
+			return
+		}
+		_, _ = conn.Write([]byte(answer))
+	}
+}
+
+const (
+	// lost closes the connection after the request was read.
+	lost     = ""
+	answered = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	failed   = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	shed     = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// newRelay returns a relay before some upstreams, all at one address.
+func newRelay(t *testing.T, upstreams *upstreams, age time.Duration) *Relay {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	set, _, err := items.Set{}.Merge([]items.Item{
+		{Kind: items.KindService, Name: "jobs", Version: 1, Service: &items.Service{}},
+		{Kind: items.KindWorkspace, Name: "w", Version: 1, Workspace: &items.Workspace{Keys: []string{"k"}}},
+		route("look", true), route("book", false),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	board := admit.NewBoard("here", clock, 1)
+	var targets []admit.Target
+	for number := range 6 {
+		targets = append(targets, admit.Target{
+			Owner: spans.Owner{ID: fmt.Sprint("up-", number)}, Service: "jobs", Slots: 2, DataCentre: "here",
+			Address: netip.MustParseAddrPort(upstreams.listener.Addr().String()),
+		})
+	}
+	board.Update("jobs", targets, spans.Table{})
+	connections := &pool.Pool{Clock: clock, Belongs: func(*pool.Request, http.Header) bool { return true }}
+	t.Cleanup(connections.Close)
+	return &Relay{
+		Protocol: protocol{}, Board: board, Pool: connections, Purse: &share.Purse{}, Clock: clock, Log: quiet,
+		Desk: permit.NewDesk(state.Entry{Name: "host"}, board, nil, nil, clock, quiet), Stats: &stats.Set{},
+		Belief: func() Belief {
+			return Belief{View: set.View(), Index: 1, ConfirmedAt: clock.Now().Add(-age)}
+		},
+		MaxAge: time.Minute, Asked: func(string, uint16) {}, Draining: func() bool { return false }, StartedAt: clock.Now(),
+	}
+}
+
+func route(name string, idempotent bool) items.Item {
+	return items.Item{Kind: items.KindRoute, Name: name, Version: 1, Route: &items.Route{
+		Host: "host", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: 20 * time.Second, Goal: 20 * time.Second,
+		Attempts: 2, Split: []items.Share{{Service: "jobs", Weight: 1}},
+	}}
+}
+
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		key     string
+		age     time.Duration
+		answers []string
+		status  int
+		sends   int64
+	}{
+		{"answered", "/book/x", "k", 0, []string{answered}, 200, 1},
+		{"an upstream's own failure stays", "/book/x", "k", 0, []string{failed}, 500, 1},
+		{"a write that was shed goes elsewhere", "/book/x", "k", 0, []string{shed, answered}, 200, 2},
+		{"a lost write is not sent again", "/book/x", "k", 0, []string{lost, answered}, 502, 1},
+		{"a lost lookup is", "/look/x", "k", 0, []string{lost, answered}, 200, 2},
+		{"but not to more upstreams than allowed", "/look/x", "k", 0, []string{lost}, 502, 2},
+		{"a lookup that was lost and then shed may have run", "/look/x", "k", 0, []string{lost, shed}, 502, 5},
+		{"shed everywhere is not run", "/book/x", "k", 0, []string{shed}, 503, 5},
+		{"no route", "/other/", "k", 0, []string{answered}, 404, 0},
+		{"no such key", "/book/x", "other", 0, []string{answered}, 401, 0},
+		{"a configuration that may be too old", "/book/x", "k", time.Hour, []string{answered}, 503, 0},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			upstreams := startUpstreams(t, testcase.answers...)
+			relay := newRelay(t, upstreams, testcase.age)
+			request := httptest.NewRequest(http.MethodGet, "http://host"+testcase.path, nil)
+			request.Header.Set("Id", "r")
+			request.Header.Set("Key", testcase.key)
+			recorder := httptest.NewRecorder()
+			relay.ServeHTTP(recorder, request)
+			is.Equal(recorder.Code, testcase.status)
+			is.Equal(upstreams.requests.Load(), testcase.sends)
+			if recorder.Code == http.StatusServiceUnavailable {
+				is.True(recorder.Header().Get("Retry-After") != "")
+			}
+		})
+	}
+}
