Leave a control host that lags at once

Change: fetches wait 60 ms while the leader is known to have news, half a second otherwise; a control host nearby that lagged is not preferred for 5 s.

Measured: a test of the waits fails before.

--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -24,6 +24,9 @@
 	proposeTry = 700 * time.Millisecond
 	retryPause = 20 * time.Millisecond
 	fetchSlack = 500 * time.Millisecond
+	// preferPause is how long fetches stay away from a control host nearby that
+	// failed or lagged: it may be cut off from the others.
+	preferPause = 5 * time.Second
 	// firstIndex is the index of a group that has committed nothing yet.
 	firstIndex = 1
 	// wholeSlack is how long the whole catalog may take beyond the wait.
@@ -41,8 +44,10 @@
 	// leader is the position of the wire that last led to the leader.
 	leader int
 	source int
-	// near are the control hosts of the client's data centre.
-	near map[netip.AddrPort]bool
+	// near are the control hosts of the client's data centre, and preferAt is when
+	// they may be preferred again.
+	near     map[netip.AddrPort]bool
+	preferAt time.Time
 }
 
 // NewClient returns a client of the control hosts at the addresses.
@@ -275,10 +280,12 @@
 	return reply, err
 }
 
-// NextSource makes the next fetch go to another control host.
+// NextSource makes the next fetch go to another control host, and keeps fetches
+// from those nearby for a while.
 func (client *Client) NextSource() {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
+	client.preferAt = time.Now().Add(preferPause)
 	client.source = (client.source + 1) % len(client.wires)
 }
 
@@ -292,7 +299,7 @@
 	for _, address := range near {
 		client.near[address] = true
 	}
-	if client.near[client.wires[client.source].address] {
+	if client.near[client.wires[client.source].address] || time.Now().Before(client.preferAt) {
 		return
 	}
 	for position, wire := range client.fetches {
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -78,7 +78,8 @@
 	unconfirmed []confirmation
 	asked       map[string][]uint16
 	lost        bool
-	// seen are the upstreams' addresses and since when they leave.
+	// leaving says since when upstreams leave, by ID; known are the addresses of all
+	// upstreams. Only the task that takes catalogs over uses them.
 	leaving map[string]time.Time
 	known   map[netip.AddrPort]bool
 }
--- a/internal/peer/fetch/fetch.go
+++ b/internal/peer/fetch/fetch.go
@@ -19,7 +19,10 @@
 
 const (
 	// wait is how long a control host holds a fetch that finds no news.
-	wait       = time.Second
+	wait = 500 * time.Millisecond
+	// lagWait is the same while the leader is known to have news: a control host
+	// that has none may be cut off.
+	lagWait    = 60 * time.Millisecond
 	retryPause = 30 * time.Millisecond
 	// logPrefix starts each line that this package logs.
 	logPrefix = "configuration: "
@@ -94,7 +97,11 @@
 		default:
 		}
 		expected := follower.leaderIndex()
-		reply, err := follower.source.Fetch(follower.Catalog().Index, wait)
+		hold := wait
+		if follower.Catalog().Index < expected {
+			hold = lagWait
+		}
+		reply, err := follower.source.Fetch(follower.Catalog().Index, hold)
 		if err == nil {
 			err = follower.take(reply)
 		}
--- a/internal/peer/fetch/fetch_test.go
+++ b/internal/peer/fetch/fetch_test.go
@@ -18,9 +18,15 @@
 type fakeSource struct {
 	replies chan group.FetchReply
 	turned  chan struct{}
+	// holds are the waits asked for.
+	holds chan time.Duration
 }
 
-func (fakesource *fakeSource) Fetch(uint64, time.Duration) (group.FetchReply, error) {
+func (fakesource *fakeSource) Fetch(_ uint64, hold time.Duration) (group.FetchReply, error) {
+	select {
+	case fakesource.holds <- hold:
+	default:
+	}
 	reply, ok := <-fakesource.replies
 	if !ok {
 		return group.FetchReply{}, errors.New("no control host answers")
@@ -45,7 +51,7 @@
 }
 
 func newTestFollower(leaderIndex uint64) (*Follower, *fakeSource) {
-	source := &fakeSource{replies: make(chan group.FetchReply), turned: make(chan struct{}, 1)}
+	source := &fakeSource{replies: make(chan group.FetchReply), turned: make(chan struct{}, 1), holds: make(chan time.Duration, 1)}
 	follower := NewFollower(source, func() uint64 { return leaderIndex }, &log.Logger{Handler: discard.New()})
 	return follower, source
 }
@@ -92,6 +98,24 @@
 	follower.Close()
 }
 
+// TestAsksBrieflyWhileBehind waits long for news only where none are known of, so
+// that control hosts that are cut off cost little time.
+func TestAsksBrieflyWhileBehind(t *testing.T) {
+	for _, testcase := range []struct {
+		name   string
+		leader uint64
+		want   time.Duration
+	}{{"behind", 10, lagWait}, {"not behind", 0, wait}} {
+		t.Run(testcase.name, func(t *testing.T) {
+			follower, source := newTestFollower(testcase.leader)
+			follower.Start()
+			is.New(t).Equal(<-source.holds, testcase.want)
+			close(source.replies)
+			follower.Close()
+		})
+	}
+}
+
 func TestWatchersAreTold(t *testing.T) {
 	is := is.New(t)
 	follower, _ := newTestFollower(0)
