Use no permit for an upstream that gets no more work

Change: the asking host looks at what it knows of the upstream, gives the permit back and asks another primary.

Ruled out: a late configuration at the asking host; its version was current.

--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -339,9 +339,10 @@
 		permit.number = granted.Number
 		permit.began = permit.desk.clock.Now()
 		target, known := permit.desk.local.Target(permit.ask.Service, spans.Owner{ID: granted.ID, Born: granted.Born})
-		if !known {
+		if !known || target.Leaving && !permit.ask.Keyed {
+			// The primary may be cut off and not know what this host knows.
 			permit.Done(admit.ResultLeft, nil)
-			return nil, nil, Error.New("the permit is for an upstream that this host does not know")
+			return nil, nil, Error.New("the permit is for %s, which gets no more work", granted.ID)
 		}
 		permit.Target = target
 		return permit, nil, nil
--- a/internal/dispatch/permit/permit_test.go
+++ b/internal/dispatch/permit/permit_test.go
@@ -170,6 +170,27 @@
 	is.True(fleet.network.calls <= calls+1) // the silent one is not asked again
 }
 
+// TestStalePrimary is given a permit by a host that does not know that the
+// upstream leaves; it goes elsewhere instead.
+func TestStalePrimary(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	leaving, other := fleet.target, fleet.target
+	leaving.Leaving = true
+	other.Owner.ID, other.Keyed = "other", false
+	primary := 0
+	if entry, _ := fleet.desks[0].primary(jobs, "here"); entry.Name == fleet.entries[1].Name {
+		primary = 1
+	}
+	asking := 1 - primary
+	fleet.boards[asking].Update(jobs, []admit.Target{leaving, other}, spans.Table{})
+	ask := fleet.ask()
+	ask.Keyed = false
+	permit, refusal := fleet.desks[asking].Acquire(context.Background(), ask)
+	is.Equal(refusal, nil)
+	is.Equal(permit.Target.Owner.ID, "other")
+}
+
 // TestDrainingHostIsNoPrimary leaves out hosts that shut down.
 func TestDrainingHostIsNoPrimary(t *testing.T) {
 	is := is.New(t)
