Place keys by what requests take on each machine

Cause: the work that entry hosts report was divided by the pace that upstreams tell of their machine. Change: an exact board measures a request from when it got its slot; the pace only scales what is expected of a request at the moment. Primaries report the work, since they know the slots.

--- a/internal/dispatch/admit/ask.go
+++ b/internal/dispatch/admit/ask.go
@@ -53,7 +53,9 @@
 	Target Target
 	ask    Ask
 	board  *Board
-	began  time.Time
+	// started is when the upstream got the request or, where the board knows
+	// better, when the request got a slot there.
+	started time.Time
 }
 
 // Result is how a request ended at its upstream.
--- a/internal/dispatch/admit/pattern_test.go
+++ b/internal/dispatch/admit/pattern_test.go
@@ -339,6 +339,49 @@
 	is.True(shed < 150) // an even division would shed 250
 }
 
+// TestSlowMachinesShowTheirWork loads upstreams whose machines are always faster
+// or slower than usual, and say so: the reported work, by which keys are placed,
+// is what a request takes there, without what it waits for a slot.
+func TestSlowMachinesShowTheirWork(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		pace int
+	}{
+		{"fast", 60}, {"usual", 100}, {"slow", 140},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			board := NewExact(clock, 1)
+			targets := targets(1)
+			targets[0].Keyed = true
+			owner := targets[0].Owner
+			board.Update(jobs, targets, spans.Table{Version: 1, Spans: []spans.Span{{From: 0, To: spans.MaxKey, Owner: owner, Fence: 1}}})
+			ask := func() *Ticket {
+				now := clock.Now()
+				waiting, refusal := board.Enqueue(Ask{Service: jobs, Keyed: true, Key: 7, Goal: now.Add(goal), Deadline: now.Add(last)})
+				is.True(refusal == nil)
+				ticket, _ := waiting.Decided()
+				is.True(ticket != nil)
+				return ticket
+			}
+			takes := work * time.Duration(test.pace) / usualPace
+			// Two slots and one request behind them: each slot is taken again at once.
+			running := []*Ticket{ask(), ask(), ask()}
+			for range 20 {
+				clock.Advance(takes)
+				for _, ticket := range running[:2] {
+					ticket.Done(ResultAnswered, &Load{Running: 2, Slots: 2, Pace: test.pace})
+				}
+				running = append(running[2:], ask(), ask())
+			}
+			done := board.Work()[owner.ID]
+			is.Equal(done.Count, 40)
+			is.Equal((done.Total / time.Duration(done.Count)).Round(5*time.Millisecond), takes)
+		})
+	}
+}
+
 // TestRepeatsStayWithinTheBudget counts repeats against requests: the users allow
 // a fifth of the requests, and some, over all hosts.
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
--- a/internal/dispatch/admit/queue.go
+++ b/internal/dispatch/admit/queue.go
@@ -51,7 +51,7 @@
 		if other == waiting.waiter {
 			break
 		}
-		if other.queue(known) == waiting.waiter.queue(known) {
+		if known.queue(other.ask) == known.queue(waiting.waiter.ask) {
 			ahead++
 		}
 	}
@@ -130,16 +130,12 @@
 
 // hopeless refuses a request whose turn would come too late.
 func (board *Board) hopeless(known *service, ask Ask, now time.Time) *Refusal {
-	ahead := 0
-	owner := spans.Owner{}
-	if ask.Keyed {
-		owner = known.ownerOf(ask)
-	}
+	ahead, queue := 0, known.queue(ask)
 	for _, other := range known.waiters {
 		if other.ask.Priority > ask.Priority {
 			break
 		}
-		if other.queue(known) == (queue{owner: owner, place: ask.Place}) {
+		if known.queue(other.ask) == queue {
 			ahead++
 		}
 	}
@@ -152,11 +148,11 @@
 	place string
 }
 
-func (waiter *waiter) queue(known *service) queue {
-	if waiter.ask.Keyed {
-		return queue{owner: known.ownerOf(waiter.ask), place: waiter.ask.Place}
+func (service *service) queue(ask Ask) queue {
+	if ask.Keyed {
+		return queue{owner: service.ownerOf(ask), place: ask.Place}
 	}
-	return queue{place: waiter.ask.Place}
+	return queue{place: ask.Place}
 }
 
 // tooLate refuses a request if so many are ahead of it that its answer would
@@ -182,19 +178,20 @@
 // expectedWait estimates how long a request waits behind others, and how long
 // the upstreams work on one. It returns no wait where there is room.
 func (service *service) expectedWait(ask Ask, ahead int) (wait, work time.Duration) {
-	window, free := 0.0, 0.0
+	window, slots, running := 0.0, 0.0, 0.0
 	owner := service.ownerOf(ask)
 	for id, entry := range service.upstreams {
 		if !ask.Keyed && ask.fits(entry.target) || ask.Keyed && id == owner {
 			window += max(1, entry.window)
-			free += max(1, entry.window) - float64(entry.running)
-			work = max(work, entry.typical)
+			slots += entry.slots()
+			running += float64(entry.running)
+			work = max(work, entry.usual())
 		}
 	}
-	if work == 0 || float64(ahead) < free {
+	if work == 0 || float64(ahead) < window-running {
 		return 0, work
 	}
-	return time.Duration(float64(work) * (float64(ahead) - free + 1) / window), work
+	return time.Duration(float64(work) * (float64(ahead) + running - slots + 1) / slots), work
 }
 
 // leastWork is the time that must be left for a request to be worth sending.
@@ -208,7 +205,7 @@
 func (service *service) typical() time.Duration {
 	least := firstTypical
 	for _, entry := range service.upstreams {
-		least = min(least, entry.typical)
+		least = min(least, entry.usual())
 	}
 	return least
 }
@@ -241,11 +238,12 @@
 	ahead := map[queue]int{}
 	for _, waiting := range known.waiters {
 		if entry := board.candidate(known, waiting.ask, now, true); entry != nil {
-			entry.begin()
-			waiting.outcome <- outcome{ticket: &Ticket{Target: entry.target, ask: waiting.ask, board: board, began: now}}
+			ticket := &Ticket{Target: entry.target, ask: waiting.ask, board: board, started: now}
+			entry.begin(ticket)
+			waiting.outcome <- outcome{ticket: ticket}
 			continue
 		}
-		queue := waiting.queue(known)
+		queue := known.queue(waiting.ask)
 		if refusal := known.tooLate(waiting.ask, ahead[queue], now); refusal != nil {
 			waiting.outcome <- outcome{refusal: refusal}
 			continue
--- a/internal/dispatch/admit/report.go
+++ b/internal/dispatch/admit/report.go
@@ -19,15 +19,20 @@
 	if !ok {
 		return
 	}
-	entry.running--
+	entry.end(ticket, now)
 	entry.noteLoad(now, load)
 	switch result {
 	case ResultAnswered:
-		entry.answered(now, now.Sub(ticket.began), load)
+		took := now.Sub(ticket.started)
+		entry.answered(now, took, load)
+		entry.noteWork(took, load)
 	case ResultShed:
 		entry.shed(now)
 	case ResultFailed:
 		entry.failed(now)
+		if !board.exact {
+			entry.failures++
+		}
 	case ResultMisplaced:
 		known.misplaced(ticket, now)
 	case ResultLeft:
@@ -42,6 +47,11 @@
 	Failed int
 }
 
+// Add returns the sum of both.
+func (work Work) Add(other Work) Work {
+	return Work{Total: work.Total + other.Total, Count: work.Count + other.Count, Failed: work.Failed + other.Failed}
+}
+
 // Work returns what requests to each upstream took since the last call.
 func (board *Board) Work() map[string]Work {
 	board.mutex.Lock()
@@ -80,12 +90,13 @@
 }
 
 // Learn notes how a request ended for which another board had given the ticket.
+// That board reports the work.
 func (board *Board) Learn(owner spans.Owner, name string, took time.Duration, load *Load) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	if entry, ok := board.service(name).upstreams[owner]; ok {
-		entry.answered(board.clock.Now(), took, load)
 		entry.noteLoad(board.clock.Now(), load)
+		entry.answered(board.clock.Now(), took, load)
 	}
 }
 
@@ -104,12 +115,14 @@
 }
 
 // Failed notes that a request got no answer for which another board had given the
-// ticket.
+// ticket. That board leaves the report of the failure to this one, whose host
+// saw it.
 func (board *Board) Failed(owner spans.Owner, name string) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	if entry, ok := board.service(name).upstreams[owner]; ok {
 		entry.failed(board.clock.Now())
+		entry.failures++
 	}
 }
 
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/control/spans"
@@ -33,8 +34,10 @@
 	shedPause = 60 * time.Millisecond
 	// loadFresh is how long a reported load counts.
 	loadFresh = 500 * time.Millisecond
-	// usualPace is the reported pace of a machine without neighbours, in percent.
+	// usualPace is the pace, in percent, of a machine of the usual speed.
 	usualPace = 100
+	// leastPace bounds what an upstream may say of its pace, in percent.
+	leastPace = 20
 	// remoteCost is what crossing between data centres counts against an upstream.
 	remoteCost = 100 * time.Millisecond
 )
@@ -73,10 +76,16 @@
 	// exact is set where all requests to the upstream are known here.
 	exact   bool
 	running int
-	window  float64
+	// behind are the requests that, on an exact board, wait at the upstream for
+	// a slot, in their order.
+	behind []*Ticket
+	window float64
+	// typical is what a request takes at the usual pace.
 	typical time.Duration
-	load    Load
-	loadAt  time.Time
+	// pace is the average of the reported paces, in percent.
+	pace   float64
+	load   Load
+	loadAt time.Time
 	// pausedUntil is when the upstream may be tried again after a failure.
 	pausedUntil time.Time
 	pause       time.Duration
@@ -99,14 +108,31 @@
 	if exact && target.Keyed {
 		window += exactSpare
 	}
-	return &upstream{target: target, exact: exact, window: window, typical: firstTypical, coldAt: now}
+	return &upstream{target: target, exact: exact, window: window, typical: firstTypical, pace: usualPace, coldAt: now}
+}
+
+// slots is the number of requests among which a typical time is one answer each:
+// on an exact board the upstream's slots, else the window, since then typical
+// times contain what requests wait at the upstream.
+func (upstream *upstream) slots() float64 {
+	if upstream.exact {
+		return float64(max(1, upstream.target.Slots))
+	}
+	return max(1, upstream.window)
 }
 
 // noteLoad notes what the upstream said of itself, if it did.
 func (upstream *upstream) noteLoad(now time.Time, load *Load) {
-	if load != nil {
-		upstream.load, upstream.loadAt = *load, now
+	if load == nil {
+		return
 	}
+	upstream.load, upstream.loadAt = *load, now
+	upstream.pace += (float64(max(leastPace, load.Pace)) - upstream.pace) * typicalTenths / 10
+}
+
+// usual returns what a request takes at the upstream's average pace.
+func (upstream *upstream) usual() time.Duration {
+	return time.Duration(float64(upstream.typical) * upstream.pace / usualPace)
 }
 
 // retarget takes over what the catalog says now.
@@ -131,24 +157,38 @@
 	return upstream.coldTokens >= 1
 }
 
-func (upstream *upstream) begin() {
+func (upstream *upstream) begin(ticket *Ticket) {
 	upstream.running++
 	if upstream.target.Cold {
 		upstream.coldTokens--
 	}
+	if upstream.exact && upstream.running > max(1, upstream.target.Slots) {
+		upstream.behind = append(upstream.behind, ticket)
+	}
+}
+
+// end notes that a request has ended, and that the next one gets its slot.
+func (upstream *upstream) end(ticket *Ticket, now time.Time) {
+	upstream.running--
+	if position := slices.Index(upstream.behind, ticket); position >= 0 {
+		upstream.behind = slices.Delete(upstream.behind, position, position+1)
+		return
+	}
+	if len(upstream.behind) > 0 {
+		upstream.behind[0].started = now
+		upstream.behind = upstream.behind[1:]
+	}
 }
 
 // expected estimates how long the upstream takes for one more request.
 func (upstream *upstream) expected(now time.Time) time.Duration {
 	slots := max(1, upstream.target.Slots)
-	busy := upstream.running
-	pace := usualPace
+	busy, work := upstream.running, upstream.usual()
 	if now.Sub(upstream.loadAt) < loadFresh {
 		busy = max(busy, upstream.load.Running+upstream.load.Waiting)
-		pace = max(usualPace/2, upstream.load.Pace)
+		work = upstream.typical * time.Duration(max(leastPace, upstream.load.Pace)) / usualPace
 	}
 	queued := max(0, busy-slots+1)
-	work := upstream.typical * time.Duration(pace) / usualPace
 	return work + work*time.Duration(queued)/time.Duration(slots)
 }
 
@@ -157,7 +197,11 @@
 func (upstream *upstream) answered(now time.Time, took time.Duration, load *Load) {
 	upstream.answeredAt = now
 	upstream.pause, upstream.pausedUntil = 0, time.Time{}
-	upstream.typical += (took - upstream.typical) * typicalTenths / 10
+	pace := time.Duration(upstream.pace)
+	if load != nil {
+		pace = time.Duration(load.Pace)
+	}
+	upstream.typical += (took*usualPace/max(leastPace, pace) - upstream.typical) * typicalTenths / 10
 	slots := max(1, upstream.target.Slots)
 	switch {
 	case upstream.exact:
@@ -166,14 +210,14 @@
 	default:
 		upstream.window = min(upstream.window+windowGrow, maxWindow*float64(slots))
 	}
-	upstream.noteWork(took, load)
 }
 
-// noteWork adds what the request took, less what it waited at the upstream and
-// what neighbours of its machine slowed it down.
+// noteWork adds what the request took, less what it waited at the upstream. An
+// exact board knows when the request got its slot; another one goes by the queue
+// that the upstream reports. How slow the upstream's machine is stays in: it
+// lasts, and the reported pace contains it.
 func (upstream *upstream) noteWork(took time.Duration, load *Load) {
-	if load != nil {
-		took = took * usualPace / time.Duration(max(usualPace/2, load.Pace))
+	if load != nil && !upstream.exact {
 		took = took * time.Duration(max(1, load.Slots)) / time.Duration(max(1, load.Slots)+load.Waiting)
 	}
 	upstream.work += took
@@ -191,7 +235,6 @@
 
 // failed notes that the upstream could not be reached or did not answer.
 func (upstream *upstream) failed(now time.Time) {
-	upstream.failures++
 	upstream.pause = min(max(firstPause, 2*upstream.pause), maxPause)
 	upstream.pausedUntil = now.Add(upstream.pause)
 }
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -80,7 +80,7 @@
 	now := visit.relay.Clock.Now()
 	line := log.Fields{
 		"request": visit.caller.ID, "route": visit.route.Name, "service": visit.service, "workspace": visit.workspace,
-		"sends": visit.sends, "after": now.Sub(visit.arrived).String(), "version": visit.belief.Index,
+		"sends": visit.sends, "after": now.Sub(visit.arrived).String(), "patience": visit.caller.Patience.String(), "version": visit.belief.Index,
 	}
 	if visit.caller.HasShard {
 		line["key"] = visit.caller.Shard
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -242,8 +242,10 @@
 		Report: entry.purse.Report(sent, settings.Host.Name), Keys: keys, Work: map[string]steer.Work{},
 		Members: entry.members,
 	}
-	for upstream, work := range entry.board.Work() {
-		args.Work[upstream] = steer.Work(work)
+	for _, board := range []*admit.Board{entry.board, entry.exact} {
+		for upstream, work := range board.Work() {
+			args.Work[upstream] = steer.Work(admit.Work(args.Work[upstream]).Add(work))
+		}
 	}
 	reply, err := group.CallLeader[steer.PollReply](ctx, entry.client, "Steer.Poll", args)
 	entry.noteContact(err)
