--- a/internal/bench/slope/hosts.go
+++ b/internal/bench/slope/hosts.go
@@ -13,11 +13,11 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 
+	"damaskcrank.example/damaskcrank/internal/control/beats"
+	"damaskcrank.example/damaskcrank/internal/control/fetch"
 	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
-	"damaskcrank.example/damaskcrank/internal/peer/beats"
-	"damaskcrank.example/damaskcrank/internal/peer/fetch"
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
 )
 
--- a/internal/oper/cmds/cmds.go
+++ b/internal/cmds/verbs/cmds.go
@@ -1,5 +1,5 @@
-// Package cmds is the command line, one file per command.
-package cmds
+// Package verbs is the command line, one file per command.
+package verbs
 
 import (
 	"errors"
--- a/internal/oper/cmds/datacentre.go
+++ b/internal/cmds/verbs/datacentre.go
@@ -1,4 +1,4 @@
-package cmds
+package verbs
 
 import "net/http"
 
--- a/internal/oper/cmds/policy.go
+++ b/internal/cmds/verbs/policy.go
@@ -1,4 +1,4 @@
-package cmds
+package verbs
 
 import (
 	"damaskcrank.example/damaskcrank/internal/oper/admin"
--- a/internal/oper/cmds/upstream.go
+++ b/internal/cmds/verbs/upstream.go
@@ -1,4 +1,4 @@
-package cmds
+package verbs
 
 type upstreamCommand struct {
 	Out upstreamOutCommand `cmd:"" help:"Take an upstream out: it gets no new work."`
--- a/internal/control/plan/plan_test.go
+++ b/internal/control/plan/plan_test.go
@@ -8,9 +8,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"damaskcrank.example/damaskcrank/internal/control/beats"
 	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
-	"damaskcrank.example/damaskcrank/internal/peer/beats"
 )
 
 // fleet is a state machine that carries decisions out, with releases at once.
--- a/internal/dispatch/duty/duty.go
+++ b/internal/dispatch/duty/duty.go
@@ -12,9 +12,9 @@
 
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
+	"damaskcrank.example/damaskcrank/internal/dispatch/quota"
 	"damaskcrank.example/damaskcrank/internal/dispatch/shard"
 	"damaskcrank.example/damaskcrank/internal/dispatch/upstr"
-	"damaskcrank.example/damaskcrank/internal/entry/quota"
 	"damaskcrank.example/damaskcrank/internal/peer/links"
 )
 
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"damaskcrank.example/damaskcrank/internal/control/fetch"
 	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/control/steer"
@@ -18,7 +19,6 @@
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/entry/relay"
-	"damaskcrank.example/damaskcrank/internal/peer/fetch"
 	"damaskcrank.example/damaskcrank/internal/peer/links"
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
--- a/internal/fleet/host/session.go
+++ b/internal/fleet/host/session.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/control/beats"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
-	"damaskcrank.example/damaskcrank/internal/entry/quota"
-	"damaskcrank.example/damaskcrank/internal/peer/beats"
+	"damaskcrank.example/damaskcrank/internal/dispatch/quota"
 	"damaskcrank.example/damaskcrank/internal/peer/links"
 )
 
--- a/main.go
+++ b/main.go
@@ -4,12 +4,12 @@
 import (
 	"os"
 
-	"damaskcrank.example/damaskcrank/internal/oper/cmds"
+	"damaskcrank.example/damaskcrank/internal/cmds/verbs"
 	"damaskcrank.example/damaskcrank/platform"
 )
 
 func main() {
-	os.Exit(cmds.Run(os.Args[1:], cmds.Extra{
+	os.Exit(verbs.Run(os.Args[1:], verbs.Extra{
 		Name: "platform", Help: "Run the hosts of a fleet on the users' platform.", Command: &platform.Command{},
 	}))
 }
