Mend the race on a permit's ticket, remove what has no use

Fields and methods without use; 'tenant' in comments for what the code calls workspace. Ruled out: nothing else writes the ticket. Change: one method sets it under the lock and gives the slot back if the permit is gone.

--- a/internal/base/logs/async.go
+++ b/internal/base/logs/async.go
@@ -43,9 +43,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped since it was last told.
-func (async *Async) Dropped() uint64 { return async.dropped.Load() }
-
 // Close writes what waits and ends the task.
 func (async *Async) Close() {
 	close(async.stop)
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -36,7 +36,7 @@
 	maxSends = 3
 )
 
-// Workspace is a tenant's part of the load.
+// Workspace is one workspace's part of the load.
 type Workspace struct {
 	Name string
 	// Key is what its callers present.
--- a/internal/bench/scene/scene.go
+++ b/internal/bench/scene/scene.go
@@ -48,12 +48,12 @@
 	DeskUpstreams  int
 	Partitions     int
 	Work           time.Duration
-	// Workspaces lists its tenants with their shares of the load.
-	Workspaces []Tenant
+	// Workspaces lists the workspaces with their shares of the load.
+	Workspaces []WorkspaceShare
 }
 
-// Tenant is a workspace of a user.
-type Tenant struct {
+// WorkspaceShare is a workspace of a user and its share of the load.
+type WorkspaceShare struct {
 	Name  string
 	Share float64
 }
@@ -64,7 +64,7 @@
 		Name: "jordan", DataCentres: []string{"amman-north", "amman-south", "zarqa", "madaba"},
 		Hosts: 12, Control: 3, Connections: 130, Keyed: "fieldjobs", KeyedUpstreams: 30,
 		Desk: "dispatchdesk", DeskUpstreams: 8, Partitions: 256, Work: 15 * time.Millisecond,
-		Workspaces: tenants("callcentre", "drivers", "insurers", "garages", "police", "rental", "haulage", "parking"),
+		Workspaces: shares("callcentre", "drivers", "insurers", "garages", "police", "rental", "haulage", "parking"),
 	}
 }
 
@@ -74,19 +74,19 @@
 		Name: "gandaki", DataCentres: []string{"pokhara-a", "pokhara-b", "damauli", "baglung"},
 		Hosts: 9, Control: 3, Connections: 110, Keyed: "booking-desk", KeyedUpstreams: 25,
 		Desk: "field-ops", DeskUpstreams: 8, Partitions: 256, Work: 15 * time.Millisecond,
-		Workspaces: tenants("builders", "festivals", "clinics", "schools", "farms", "hotels", "cinemas", "markets"),
+		Workspaces: shares("builders", "festivals", "clinics", "schools", "farms", "hotels", "cinemas", "markets"),
 	}
 }
 
-// tenants gives the first two workspaces large shares.
-func tenants(names ...string) []Tenant {
-	var list []Tenant
+// shares gives the first two workspaces large shares.
+func shares(names ...string) []WorkspaceShare {
+	var list []WorkspaceShare
 	for position, name := range names {
 		share := 0.05
 		if position < 2 {
 			share = 0.35
 		}
-		list = append(list, Tenant{Name: name, Share: share})
+		list = append(list, WorkspaceShare{Name: name, Share: share})
 	}
 	return list
 }
--- a/internal/bench/scene/small.go
+++ b/internal/bench/scene/small.go
@@ -9,6 +9,6 @@
 		Name: "demo", DataCentres: []string{"amman-north", "zarqa", "madaba"},
 		Hosts: 4, Control: 3, Connections: 130, Keyed: "fieldjobs", KeyedUpstreams: 6,
 		Desk: "dispatchdesk", DeskUpstreams: 3, Partitions: 64, Work: 10 * time.Millisecond,
-		Workspaces: tenants("callcentre", "drivers", "insurers", "garages", "police", "rental", "haulage", "parking"),
+		Workspaces: shares("callcentre", "drivers", "insurers", "garages", "police", "rental", "haulage", "parking"),
 	}
 }
--- a/internal/control/items/items.go
+++ b/internal/control/items/items.go
@@ -51,7 +51,7 @@
 	Public bool
 }
 
-// Workspace is a tenant with its caller keys and its rate.
+// Workspace is a group of callers with its caller keys and its rate.
 type Workspace struct {
 	Keys     []string
 	Priority int
--- a/internal/control/spec/spec.go
+++ b/internal/control/spec/spec.go
@@ -110,7 +110,7 @@
 	Share float64 `json:"share"`
 }
 
-// Workspace is a tenant.
+// Workspace is a group of callers with keys and a rate of its own.
 type Workspace struct {
 	Name string
 	// Weight is the workspace's share in fair queues.
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -392,6 +392,3 @@
 		desk.log.WithError(err).WithField("upstream", permit.Target.Owner.ID).Warn(logPrefix + "a permit could not be given back")
 	}
 }
-
-// Owner returns the upstream's name for logs.
-func (permit *Permit) Owner() spans.Owner { return permit.Target.Owner }
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -102,7 +102,7 @@
 		primary.forget(number)
 		return refuse(refusal)
 	case ticket != nil:
-		held.ticket = ticket
+		primary.hold(number, ticket)
 		return granted(number, ticket)
 	case waiting.ExpectedWait() > message.Bears:
 		primary.forget(number)
@@ -136,13 +136,28 @@
 	return primary.next
 }
 
-// abandon gives up a permit that nobody gave back.
+// hold notes the ticket of a permit. A permit that was taken back meanwhile gives
+// its ticket up.
+func (primary *Primary) hold(number uint64, ticket *admit.Ticket) {
+	primary.mutex.Lock()
+	held := primary.entries[number]
+	if held != nil {
+		held.ticket = ticket
+	}
+	primary.mutex.Unlock()
+	if held == nil {
+		ticket.Done(admit.ResultLeft, nil)
+	}
+}
+
+// abandon gives up a permit that is no longer in the table.
 func (entry *entry) abandon() {
-	if entry.ticket == nil {
-		entry.ticket = entry.waiting.Withdraw()
+	ticket := entry.ticket
+	if ticket == nil {
+		ticket = entry.waiting.Withdraw()
 	}
-	if entry.ticket != nil {
-		entry.ticket.Done(admit.ResultLeft, nil)
+	if ticket != nil {
+		ticket.Done(admit.ResultLeft, nil)
 	}
 }
 
@@ -160,9 +175,7 @@
 		primary.forget(number)
 		return refuse(refusal)
 	}
-	primary.mutex.Lock()
-	held.ticket = ticket
-	primary.mutex.Unlock()
+	primary.hold(number, ticket)
 	if ctx.Err() != nil {
 		primary.done(doneMessage{Number: number, Result: admit.ResultLeft})
 	}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -112,7 +112,6 @@
 	reader *bufio.Reader
 	// until is when the upstream may close the idle connection.
 	until time.Time
-	used  bool
 }
 
 // Send sends the request once and returns the whole answer. The context's
@@ -190,7 +189,6 @@
 
 func (pool *Pool) keep(address netip.AddrPort, connection *conn, header http.Header) {
 	now := pool.Clock.Now()
-	connection.used = true
 	connection.until = now.Add(idleTime(header))
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
