Give back permits that come too late

Cause: on the grown sites' links of 2 Mbit/s two long answers ahead of a question delay it by 0.2 s. What the primary granted to a question that was given up kept a slot until the request's deadline. Ruled out: the primaries' processor (0.04 of 0.16 cores). Change: 0.3 s; a late answer is still read and what it grants given back, also a place in the queue; a primary is suspect after three late answers in a row or a broken link; its link is ended once; the request goes on by its host's own judgement.

--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -32,8 +32,15 @@
 const (
 	// logPrefix starts each line that this package logs.
 	logPrefix = "permit: "
-	// askTimeout bounds the answer to a question, which comes at once.
-	askTimeout = 150 * time.Millisecond
+	// askTimeout bounds the answer to a question, which comes at once: two long
+	// answers to callers may be ahead of it on a link of 2 Mbit/s.
+	askTimeout = 300 * time.Millisecond
+	// lateTimeout is how long the answer is waited for all the same, so that a
+	// permit that came too late can be given back.
+	lateTimeout = 2 * time.Second
+	// lateToSuspect is the number of late answers in a row that make a primary
+	// suspect: links that are full for a moment delay one.
+	lateToSuspect = 3
 	// suspectFor is how long a primary that did not answer is not asked.
 	suspectFor = time.Second
 	// bearsHere is the expected wait in the own data centre above which others are
@@ -80,13 +87,15 @@
 	mutex    sync.Mutex
 	entries  []state.Entry
 	suspects map[string]time.Time
+	// late counts the answers in a row that each primary gave too late.
+	late map[string]int
 }
 
 // NewDesk returns the desk of a host. Local is the host's own board.
 func NewDesk(self state.Entry, local *admit.Board, primaryHere *Primary, caller Caller, clock clockwork.Clock, logger log.Interface) *Desk {
 	return &Desk{
 		self: self.Name, dataCentre: self.DataCentre, local: local, primaryHere: primaryHere, caller: caller,
-		clock: clock, log: logger, suspects: map[string]time.Time{},
+		clock: clock, log: logger, suspects: map[string]time.Time{}, late: map[string]int{},
 	}
 }
 
@@ -124,14 +133,39 @@
 	return best, found
 }
 
+// suspect keeps a primary from being asked for a while, unless it is only late
+// now and then.
 func (desk *Desk) suspect(entry state.Entry, cause error) {
+	now := desk.clock.Now()
 	desk.mutex.Lock()
-	desk.suspects[entry.Name] = desk.clock.Now().Add(suspectFor)
+	if now.Before(desk.suspects[entry.Name]) {
+		desk.mutex.Unlock()
+		return // its link was ended then, which fails all that waited there
+	}
+	if errors.Is(cause, errLate) {
+		desk.late[entry.Name]++
+		if desk.late[entry.Name] < lateToSuspect {
+			desk.mutex.Unlock()
+			return
+		}
+	}
+	desk.suspects[entry.Name] = now.Add(suspectFor)
+	delete(desk.late, entry.Name)
 	desk.mutex.Unlock()
 	desk.caller.Drop(entry.Peer)
 	desk.log.WithError(cause).WithField("primary", entry.Name).Warn(logPrefix + "a primary did not answer")
 }
 
+// noteAnswer notes that a primary answered in time.
+func (desk *Desk) noteAnswer(entry state.Entry) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	delete(desk.late, entry.Name)
+}
+
+// errLate says that a primary did not answer in time.
+var errLate = Error.New("the primary is late")
+
 // errMoved says that the key may have got another owner while a request waited.
 var errMoved = Error.New("the owner may have changed")
 
@@ -152,7 +186,11 @@
 		exact := ask
 		exact.Owner = target.Owner
 		permit, refusal, err := desk.ask(ctx, entry, exact, ask.Deadline.Sub(desk.clock.Now()), changed)
-		if errors.Is(err, errMoved) || desk.noteFailure(ctx, entry, err) {
+		failed := desk.noteFailure(ctx, entry, err)
+		switch {
+		case failed && errors.Is(err, errLate):
+			return desk.own(ctx, desk.local, ask, "host")
+		case failed, errors.Is(err, errMoved):
 			continue
 		}
 		if err != nil {
@@ -165,7 +203,7 @@
 // noteFailure suspects a primary that did not answer, and tells whether to ask
 // another.
 func (desk *Desk) noteFailure(ctx context.Context, entry state.Entry, err error) bool {
-	if err == nil || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil || errors.Is(err, errMoved) {
 		return false
 	}
 	desk.suspect(entry, err)
@@ -244,12 +282,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	limited, cancel := context.WithTimeout(ctx, askTimeout)
-	reply, err := desk.call(limited, entry, request)
-	cancel()
+	reply, err := desk.callInTime(ctx, entry, request)
 	if err != nil {
 		return nil, nil, Error.New("ask for a permit: %w", err)
 	}
+	desk.noteAnswer(entry)
 	permit := &Permit{Source: entry.Name, desk: desk, ask: ask, primary: entry}
 	if reply.Kind == kindQueued {
 		var queued grantMessage
@@ -264,6 +301,73 @@
 	return permit.take(reply)
 }
 
+// answer is how a call ended.
+type answer struct {
+	reply links.Payload
+	err   error
+}
+
+// callInTime sends a question to a primary. What it grants too late is given
+// back: it would keep a slot until the request's deadline.
+func (desk *Desk) callInTime(ctx context.Context, entry state.Entry, request links.Payload) (links.Payload, error) {
+	if entry.Name == desk.self {
+		return desk.primaryHere.Serve(ctx, request), nil
+	}
+	answers := make(chan answer, 1)
+	timer := desk.clock.NewTimer(askTimeout)
+	defer timer.Stop()
+	lasting, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateTimeout)
+	go func() {
+		defer cancel()
+		reply, err := desk.call(lasting, entry, request)
+		answers <- answer{reply: reply, err: err}
+	}()
+	err := errLate
+	select {
+	case answer := <-answers:
+		return answer.reply, answer.err
+	case <-timer.Chan():
+	case <-ctx.Done():
+		err = Error.New("the caller left: %w", ctx.Err())
+	}
+	go func() { desk.returnLate(entry, <-answers) }()
+	return links.Payload{}, err
+}
+
+// returnLate gives back what a late answer granted.
+func (desk *Desk) returnLate(entry state.Entry, late answer) {
+	if late.err != nil {
+		return // nothing was granted, or nobody knows; the primary's sweep remains
+	}
+	number, err := numberOf(late.reply)
+	if err != nil {
+		desk.log.WithError(err).WithField("primary", entry.Name).Warn(logPrefix + "a late answer can't be read")
+	}
+	if number > 0 {
+		desk.returnPermit(entry, doneMessage{Number: number, Result: admit.ResultLeft})
+	}
+}
+
+// numberOf returns the number of the permit that was granted or queued, or 0.
+func numberOf(reply links.Payload) (uint64, error) {
+	switch reply.Kind {
+	case kindGranted:
+		var granted targetMessage
+		if err := codec.Unmarshal(reply.Head, &granted); err != nil {
+			return 0, Error.New("decode permit: %w", err)
+		}
+		return granted.Number, nil
+	case kindQueued:
+		var queued grantMessage
+		if err := codec.Unmarshal(reply.Head, &queued); err != nil {
+			return 0, Error.New("decode place in the queue: %w", err)
+		}
+		return queued.Number, nil
+	default:
+		return 0, nil
+	}
+}
+
 // call sends a request to a primary, which may be this host.
 func (desk *Desk) call(ctx context.Context, entry state.Entry, request links.Payload) (links.Payload, error) {
 	if entry.Name == desk.self {
@@ -381,14 +485,18 @@
 // giveBack tells the primary. A permit that is lost on the way is taken back by
 // its deadline.
 func (permit *Permit) giveBack(result admit.Result, load *admit.Load) {
-	desk := permit.desk
-	request, err := payload(kindDone, doneMessage{Number: permit.number, Result: result, Load: encodeLoad(load)})
+	permit.desk.returnPermit(permit.primary, doneMessage{Number: permit.number, Result: result, Load: encodeLoad(load)})
+}
+
+// returnPermit gives a permit back to its primary.
+func (desk *Desk) returnPermit(entry state.Entry, message doneMessage) {
+	request, err := payload(kindDone, message)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 		defer cancel()
-		_, err = desk.call(ctx, permit.primary, request)
+		_, err = desk.call(ctx, entry, request)
 	}
 	if err != nil {
-		desk.log.WithError(err).WithField("upstream", permit.Target.Owner.ID).Warn(logPrefix + "a permit could not be given back")
+		desk.log.WithError(err).WithField("primary", entry.Name).Warn(logPrefix + "a permit could not be given back")
 	}
 }
--- a/internal/dispatch/permit/permit_test.go
+++ b/internal/dispatch/permit/permit_test.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
@@ -31,17 +32,32 @@
 	silent  map[netip.AddrPort]bool
 	calls   int
 	dropped int
+	// full links hold questions up until they are closed, and tell asked of each.
+	full, asked chan struct{}
+	// returned is told each permit that was given back.
+	returned chan doneMessage
 }
 
 func (network *network) Call(ctx context.Context, address netip.AddrPort, request links.Payload) (links.Payload, error) {
 	network.mutex.Lock()
 	network.calls++
-	primary, silent := network.hosts[address], network.silent[address]
+	primary, silent, full := network.hosts[address], network.silent[address], network.full
 	network.mutex.Unlock()
 	if silent {
 		return links.Payload{}, errSilent
 	}
-	return primary.Serve(ctx, request), nil
+	if full != nil && request.Kind == kindAsk {
+		network.asked <- struct{}{}
+		<-full
+	}
+	reply := primary.Serve(ctx, request)
+	if request.Kind == kindDone && network.returned != nil {
+		var done doneMessage
+		if err := codec.Unmarshal(request.Head, &done); err == nil {
+			network.returned <- done
+		}
+	}
+	return reply, nil
 }
 
 func (network *network) Drop(netip.AddrPort) {
@@ -170,6 +186,41 @@
 	is.True(fleet.network.calls <= calls+1) // the silent one is not asked again
 }
 
+// TestLatePermitsAreGivenBack fills a host's links, so that answers of the primary
+// come too late: the request goes on by its host's own judgement, a primary that
+// is late once is not given up, and its slot is free again.
+func TestLatePermitsAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	primary := fleet.primaryOf(t)
+	far := (primary + 1) % 3
+	network := fleet.network
+	network.full, network.asked, network.returned = make(chan struct{}), make(chan struct{}), make(chan doneMessage, 1)
+	type result struct {
+		permit  *Permit
+		refusal *admit.Refusal
+	}
+	results := make(chan result, 1)
+	go func() {
+		permit, refusal := fleet.desks[far].Acquire(t.Context(), fleet.ask())
+		results <- result{permit, refusal}
+	}()
+	<-network.asked
+	fleet.clock.Advance(askTimeout)
+	got := <-results
+	is.True(got.refusal == nil)
+	is.Equal(got.permit.Source, "host")
+	close(network.full)
+	is.Equal((<-network.returned).Result, admit.ResultLeft)
+	is.Equal(network.dropped, 0)
+	entry, _ := fleet.desks[far].primary(fleet.target.Owner.ID, fleet.target.DataCentre)
+	is.Equal(entry.Name, fleet.entries[primary].Name)
+	holder := fleet.desks[primary].primaryHere
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	is.Equal(len(holder.entries), 0)
+}
+
 // TestStalePrimary is given a permit by a host that does not know that the
 // upstream leaves; it goes elsewhere instead.
 func TestStalePrimary(t *testing.T) {
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -198,7 +198,11 @@
 // done takes a permit back.
 func (primary *Primary) done(message doneMessage) {
 	held := primary.forget(message.Number)
-	if held != nil && held.ticket != nil {
+	switch {
+	case held == nil:
+	case held.ticket == nil:
+		held.abandon()
+	default:
 		held.ticket.Done(message.Result, decodeLoad(message.Load))
 	}
 }
