--- a/internal/control/group/wire_test.go
+++ b/internal/control/group/wire_test.go
@@ -55,7 +55,7 @@
 	host := letters(6) + ".example"
 	for range 1280 {
 		name, prefix := "r-"+letters(7), "/"+letters(8)+"/"
-		source := fmt.Sprintf(`{"hostname":%q,"name":%q,"pathPrefix":%q,"service":"bookingDesk","timeout":"1s","version":144}`, host, name, prefix)
+		source := fmt.Sprintf(`{"host":%q,"name":%q,"prefix":%q,"split":[{"service":"bookingDesk","weight":1}],"timeout":"1s","version":144}`, host, name, prefix)
 		change.Items = append(change.Items, items.Item{Kind: items.KindRoute, Name: name, Version: 144, Source: []byte(source), Route: &items.Route{
 			Host: host, Prefix: prefix, Timeout: time.Second, Goal: 500 * time.Millisecond, Attempts: 2,
 			Split: []items.Share{{Service: "bookingDesk", Weight: 1}},
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -26,7 +26,10 @@
 	}
 	changes := placement.settle()
 	if len(changes) == 0 && steer.balanceDue() && steer.clock.Now().Sub(steer.since) > learnTime {
-		changes = placement.balance()
+		var err error
+		if changes, err = placement.balance(); err != nil {
+			steer.log.WithError(err).WithField("service", service).Warn(logPrefix + "not all keys that should move do")
+		}
 	}
 	steer.changeSpans(ctx, service, catalog.Spans[service], changes)
 	steer.noteMoving(service)
@@ -343,10 +346,11 @@
 	movesPart   = 4
 )
 
-// balance moves keys from the candidate with most load to the one with least.
-func (placement *placement) balance() []spans.Change {
+// balance moves keys from the candidates with most load to those with least. With
+// an error it returns the moves that are good all the same.
+func (placement *placement) balance() ([]spans.Change, error) {
 	if len(placement.candidates) < 2 {
-		return nil
+		return nil, nil
 	}
 	moving := 0
 	for _, span := range placement.table.All() {
@@ -364,12 +368,12 @@
 		}
 		table, err := placement.table.Apply(placement.table.Version, []spans.Change{change})
 		if err != nil {
-			break // the pieces so far are good; the next look finds the rest
+			return changes, Error.New("balance: %w", err)
 		}
 		placement.table = table
 		changes = append(changes, change)
 	}
-	return changes
+	return changes, nil
 }
 
 // relieve moves one piece off a candidate that is used too much, if one can be
--- a/internal/control/steer/place_test.go
+++ b/internal/control/steer/place_test.go
@@ -84,7 +84,9 @@
 			})
 			is.True(crowd.busiest() > 5)
 			for range int(2500 * time.Millisecond / balanceInterval) {
-				crowd.apply(t, crowd.placement.balance())
+				changes, err := crowd.placement.balance()
+				is.NoErr(err)
+				crowd.apply(t, changes)
 			}
 			is.True(crowd.busiest() < 2)
 		})
