Open a link before requests may use it

The greeting of a link can end on the event loop before the dial has returned to the request that began it; others that waited for the greeting then found no connection, and failed as not sent. Ruled out: load (the machine was idle), the reply numbers (no reply crossed). Change: the connection is entered with the end of the greeting.

--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -305,6 +305,8 @@
 			return Error.New("host %s does not know the cluster secret", link.address)
 		}
 		link.isReady = true
+		// The greeting may end before the dial returns; requests wait for it alone.
+		link.attach(conn)
 		close(link.ready)
 		return nil
 	case link.isReady && received.kind == frameReply:
--- a/internal/peer/links/links_test.go
+++ b/internal/peer/links/links_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/panjf2000/gnet/v2"
 
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
 )
@@ -84,6 +85,21 @@
 	}
 }
 
+// idleConn is a connection that nothing is done with.
+type idleConn struct{ gnet.Conn }
+
+// TestReadyLinkIsOpen ends a greeting before the dial has returned to the request
+// that began it: other requests that wait for the link can use it.
+func TestReadyLinkIsOpen(t *testing.T) {
+	is := is.New(t)
+	secret := trust.Secret("fleet")
+	link := &outbound{ready: make(chan struct{}), nonce: []byte("client"), server: []byte("server")}
+	welcome := frame{kind: frameWelcome, body: secret.Proof(trust.PurposeLinkServer, link.nonce, link.server)}
+	is.NoErr((&Client{secret: secret}).take(idleConn{}, link, welcome))
+	<-link.ready
+	is.True(link.conn != nil)
+}
+
 func TestStrangerIsNotServed(t *testing.T) {
 	is := is.New(t)
 	called := false
