Log what grants and ownership changes of key ranges are decided on

Change, no logic: the leader logs each reply to a heartbeat that grants other ranges than the upstream reported (sequence, term, catalog index, what was held, released, granted, left out as moving or pending, how long the holds last), each direct change before it is reserved (fence, base version, term, catalog index, for how long the holds have been over), each range let go (released or left out), and each change whose result removes another reservation than its own, comes back stale, or is not visible in the catalog yet.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -71,7 +71,8 @@
 		// release.
 		coordinator.updatePlacement(ctx, coordinator.node.Catalog(), heartbeat.Instance.Service)
 	}
-	heartbeatreply, ok := coordinator.grantHolds(owner, heartbeat.Instance.Service, received)
+	heartbeatreply, grant, ok := coordinator.grantHolds(owner, heartbeat.Instance.Service, received)
+	coordinator.logGrant(heartbeat, grant)
 	if !ok || !coordinator.node.HoldsLease() {
 		return HeartbeatReply{}, ErrNotLeader
 	}
@@ -175,6 +176,7 @@
 		if !released && !coordinator.movingLongerThan(service, span, answerExpiry) {
 			continue
 		}
+		coordinator.logReleased(heartbeat, span, released)
 		changes = append(changes, spans.Change{
 			From: span.From, To: span.To, Owner: span.Next, Handover: handover, Settle: coordinator.settleTime(span.Next),
 		})
@@ -225,18 +227,25 @@
 	return now.Sub(since) > duration
 }
 
-// grantHolds returns the holds of the upstream and records when they expire.
-func (coordinator *Coordinator) grantHolds(owner spans.Owner, service string, received time.Time) (HeartbeatReply, bool) {
+// grantHolds returns the holds of the upstream and records when they expire. The
+// grant says what they were decided on.
+func (coordinator *Coordinator) grantHolds(owner spans.Owner, service string, received time.Time) (HeartbeatReply, grant, bool) {
 	catalog := coordinator.node.Catalog()
 	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
+	grant := grant{term: coordinator.term, index: catalog.Index, decidedAt: coordinator.clock.Now(), received: received}
 	known, ok := coordinator.upstreams[owner]
 	if !ok {
-		return HeartbeatReply{}, false
+		return HeartbeatReply{}, grant, false
 	}
 	for _, span := range catalog.Spans[service].OwnedBy(owner) {
-		if span.Moving() || coordinator.isPending(service, span) {
+		switch {
+		case span.Moving():
+			grant.moving = append(grant.moving, span)
+			continue
+		case coordinator.isPending(service, span):
+			grant.pending = append(grant.pending, span)
 			continue
 		}
 		heartbeatreply.Holds = append(heartbeatreply.Holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
@@ -244,7 +253,8 @@
 	if len(heartbeatreply.Holds) > 0 {
 		known.holdsUntil = received.Add(holdExpiry)
 	}
-	return heartbeatreply, true
+	grant.holds, grant.holdsUntil = heartbeatreply.Holds, known.holdsUntil
+	return heartbeatreply, grant, true
 }
 
 func (coordinator *Coordinator) isPending(service string, span spans.Span) bool {
@@ -284,15 +294,11 @@
 		return
 	}
 	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
+	removed := coordinator.pending[service]
 	delete(coordinator.pending, service)
-	if result.Outcome == state.OutcomeDone {
-		for _, change := range command.Changes {
-			coordinator.log.WithField("service", service).WithField("from", change.From).WithField("to", change.To).
-				WithField("owner", change.Owner.ID).WithField("next", change.Next.ID).
-				WithField("version", result.Index).Info(logPrefix + "key range reassigned")
-		}
-	}
+	term := coordinator.term
+	coordinator.mutex.Unlock()
+	coordinator.logCommitted(command, removed, result, term)
 }
 
 // Deregister deregisters an upstream that has stopped or is about to stop. It gets
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -31,6 +31,7 @@
 			coordinator.log.WithError(err).WithField("service", service).Warn(logPrefix + "some keys could not be rebalanced")
 		}
 	}
+	coordinator.logReassigned(catalog, service, placement, changes)
 	coordinator.changeSpans(ctx, service, catalog.Spans[service], changes)
 	coordinator.trackMoves(service)
 }
@@ -99,6 +100,7 @@
 	placement := &placement{
 		table: catalog.Spans[service], loads: loads.sums(now), expired: map[spans.Owner]bool{},
 		ownedLoad: map[spans.Owner]float64{}, untilNextHeartbeat: map[spans.Owner]time.Duration{},
+		term: coordinator.term, takenAt: now, holdsUntil: map[spans.Owner]time.Time{},
 	}
 	instances := catalog.InstancesOf(service)
 	slices.SortFunc(instances, compareInstances)
@@ -115,6 +117,7 @@
 	placement.weights = coordinator.health.weights(instances)
 	for _, span := range placement.table.All() {
 		placement.expired[span.Owner] = coordinator.holdsEnded(catalog, span.Owner, now)
+		placement.holdsUntil[span.Owner] = coordinator.holdsUntil(span.Owner)
 		if !placement.expired[span.Owner] {
 			instance, known := catalog.Instances[span.Owner.ID]
 			leaving := !known || instance.Born != span.Owner.Born || !catalog.Schedulable(instance) ||
@@ -158,11 +161,15 @@
 	if present, ok := catalog.Instances[owner.ID]; ok && present.Born > owner.Born {
 		return true
 	}
-	until := coordinator.termStart.Add(holdExpiry)
+	return now.After(coordinator.holdsUntil(owner))
+}
+
+// holdsUntil returns when all holds that an owner was granted have certainly expired.
+func (coordinator *Coordinator) holdsUntil(owner spans.Owner) time.Time {
 	if known, ok := coordinator.upstreams[owner]; ok {
-		until = known.holdsUntil
+		return known.holdsUntil
 	}
-	return now.After(until)
+	return coordinator.termStart.Add(holdExpiry)
 }
 
 // placement decides which upstreams own a service's keys. Its decisions depend only
@@ -183,6 +190,11 @@
 	weights map[spans.Owner]float64
 	// untilNextHeartbeat is the time until each candidate's next heartbeat.
 	untilNextHeartbeat map[spans.Owner]time.Duration
+	// term and takenAt are when the other fields were read, and holdsUntil is when the
+	// holds of each owner expired or will expire as of then. They are only logged.
+	term       uint64
+	takenAt    time.Time
+	holdsUntil map[spans.Owner]time.Time
 }
 
 func (placement *placement) setLeaving(owner spans.Owner, leaving bool) {
