Test that keys are not granted while a tick gives them away

The test runs operations of a Coordinator in goroutines of which one runs at a time. They pause at each call of the Node, the clock and the logger, and the test decides which goes on. It tries every point of a tick for the heartbeat. What counts is what the simulated upstreams hold by the protocol. The fake nodes have ProposeInTerm too.

--- /dev/null
+++ b/internal/control/steer/interleaving_test.go
@@ -0,0 +1,166 @@
+package steer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// eachSwitch runs a scenario with one switch between operations, once for each seam of
+// the first: prepare returns it, paused at its start, and what happens at the switch.
+// Then the first operation ends and all upstreams send heartbeats, the one that prepare
+// returns last.
+func eachSwitch(t *testing.T, prepare func() (*simulation, *upstream, *operation, func())) {
+	t.Helper()
+	for seams := 0; ; seams++ {
+		simulation, upstream, first, meanwhile := prepare()
+		for range seams {
+			if !first.ended {
+				simulation.scheduler.step(first)
+			}
+		}
+		seam, ended := first.seam, first.ended
+		meanwhile()
+		if !first.ended {
+			simulation.scheduler.finish(first)
+		}
+		simulation.settle(upstream)
+		if simulation.violation != "" {
+			t.Fatalf("switch at seam %d (%s) of the %s: %s", seams, seam, first.name, simulation.violation)
+		}
+		simulation.close()
+		if ended {
+			return
+		}
+	}
+}
+
+// settle lets all upstreams but one send heartbeats twice, and then all, without ticks.
+func (simulation *simulation) settle(last *upstream) {
+	simulation.group.publish()
+	for round := range 3 {
+		for _, upstream := range simulation.upstreams {
+			if !upstream.up || upstream == last && round < 2 {
+				continue
+			}
+			if call := upstream.call; call != nil && call.operation != nil && call.operation.ended {
+				call.answerDelay, call.arrivesAt = 0, simulation.clock.Now()
+				simulation.receive(upstream, simulation.clock.Now())
+			}
+			simulation.exchange(upstream)
+		}
+		simulation.advance(10 * time.Millisecond)
+	}
+}
+
+// newIdleSimulation returns a simulation with few ticks in which all keys are held.
+func newIdleSimulation(members, upstreams int) *simulation {
+	simulation := newSimulation(members, upstreams)
+	simulation.tickEvery = 500 * time.Millisecond
+	simulation.run(3 * time.Second)
+	return simulation
+}
+
+// silence cuts an upstream off until all holds that it was granted have ended, and no
+// tick has noticed. It can send heartbeats again then.
+func (simulation *simulation) silence(upstream *upstream) {
+	simulation.almostSilence(upstream, 0)
+	simulation.advance(10 * time.Millisecond)
+	upstream.silentUntil = time.Time{}
+}
+
+// almostSilence cuts an upstream off until the given time before all its holds have
+// ended.
+func (simulation *simulation) almostSilence(upstream *upstream, before time.Duration) {
+	var heard time.Time
+	for upstream.call != nil || heard.IsZero() {
+		if upstream.call != nil && upstream.call.operation != nil {
+			heard = upstream.call.operation.startedAt
+		}
+		simulation.step(10 * time.Millisecond)
+	}
+	upstream.silentUntil = simulation.clock.Now().Add(time.Hour)
+	for simulation.clock.Now().Before(heard.Add(holdExpiry - before)) {
+		simulation.step(10 * time.Millisecond)
+	}
+}
+
+// assignUntold adds an upstream and advances the simulation until the upstream owns
+// keys that it has not been told of. It waits for the answer to no heartbeat.
+func (simulation *simulation) assignUntold() *upstream {
+	simulation.run(3 * time.Second)
+	simulation.tickEvery = tickInterval
+	added := simulation.addUpstream()
+	owned := func() bool { return len(simulation.group.catalog.Spans[jobs].OwnedBy(added.instance.Owner())) > 0 }
+	for !owned() || added.call != nil {
+		if owned() {
+			added.silentUntil = simulation.clock.Now().Add(time.Hour)
+		}
+		simulation.step(10 * time.Millisecond)
+		if len(added.rows) > 0 {
+			panic("the upstream was told of its keys")
+		}
+	}
+	added.silentUntil = time.Time{}
+	return added
+}
+
+// evacuate starts the evacuation of an upstream's data centre.
+func (simulation *simulation) evacuate(upstream *upstream) {
+	simulation.group.waiting = append(simulation.group.waiting, &logEntry{command: state.EvacuateDataCentre{Name: upstream.instance.DataCentre, Evacuated: true}})
+	simulation.group.commit()
+	simulation.group.publish()
+}
+
+// TestGrantBetweenJudgementAndReservation guards against two holders of keys whose
+// owner is granted them anew after a tick has found that its holds have ended.
+func TestGrantBetweenJudgementAndReservation(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func() (*simulation, *upstream)
+	}{
+		{"a silent upstream is heard again", func() (*simulation, *upstream) {
+			simulation := newIdleSimulation(1, 3)
+			simulation.silence(simulation.upstreams[0])
+			return simulation, simulation.upstreams[0]
+		}},
+		{"a silent upstream is heard again and drains", func() (*simulation, *upstream) {
+			simulation := newIdleSimulation(1, 3)
+			simulation.silence(simulation.upstreams[0])
+			simulation.upstreams[0].instance.Draining = true
+			return simulation, simulation.upstreams[0]
+		}},
+		{"an upstream learns of its first keys when its data centre is evacuated", func() (*simulation, *upstream) {
+			simulation := newIdleSimulation(1, 2)
+			upstream := simulation.assignUntold()
+			simulation.evacuate(upstream)
+			return simulation, upstream
+		}},
+		{"an upstream learns of its first keys when it begins to drain", func() (*simulation, *upstream) {
+			simulation := newIdleSimulation(1, 2)
+			upstream := simulation.assignUntold()
+			simulation.scheduler.finish(simulation.startDeregistration(upstream))
+			return simulation, upstream
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
+				simulation, upstream := test.prepare()
+				return simulation, upstream, simulation.startTick(simulation.group.leader), func() { simulation.exchange(upstream) }
+			})
+		})
+	}
+}
+
+func (simulation *simulation) startDeregistration(upstream *upstream) *operation {
+	target := simulation.group.leader
+	if target == nil {
+		target = simulation.group.members[0]
+	}
+	operation := &operation{name: "deregistration", coordinator: target.coordinator, startedAt: simulation.clock.Now(), timeout: callTimeout}
+	id := upstream.instance.ID
+	simulation.scheduler.start(operation, func() { _ = operation.coordinator.Deregister(context.Background(), id) })
+	return operation
+}
--- a/internal/control/steer/model_test.go
+++ b/internal/control/steer/model_test.go
@@ -43,6 +43,14 @@
 	return result, nil
 }
 
+// ProposeInTerm fails unless the member leads in the term.
+func (fakenode *fakeNode) ProposeInTerm(ctx context.Context, term uint64, command state.Command) (state.Result, error) {
+	if fakenode.term != term {
+		return state.Result{}, group.ErrNotLeader
+	}
+	return fakenode.Propose(ctx, command)
+}
+
 func (fakenode *fakeNode) ReadLinearizable(context.Context) (*state.Catalog, error) {
 	return fakenode.catalog, nil
 }
