--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -164,3 +164,36 @@
 	simulation.scheduler.start(operation, func() { _ = operation.coordinator.Deregister(context.Background(), id) })
 	return operation
 }
+
+// TestGrantFromOldCatalog guards against two holders of keys that a heartbeat grants
+// from a catalog read before a change gave them away.
+func TestGrantFromOldCatalog(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func() (*simulation, *upstream)
+	}{
+		{"of an upstream that was silent, in an evacuated data centre", func() (*simulation, *upstream) {
+			simulation := newIdleSimulation(1, 3)
+			simulation.silence(simulation.upstreams[0])
+			simulation.evacuate(simulation.upstreams[0])
+			return simulation, simulation.upstreams[0]
+		}},
+		{"of an upstream that has not been told of its keys, in an evacuated data centre", func() (*simulation, *upstream) {
+			simulation := newIdleSimulation(1, 2)
+			upstream := simulation.assignUntold()
+			simulation.evacuate(upstream)
+			return simulation, upstream
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
+				simulation, upstream := test.prepare()
+				call := simulation.send(upstream)
+				call.answerDelay = 0
+				return simulation, upstream, simulation.startHeartbeat(call), func() {
+					simulation.scheduler.finish(simulation.startTick(simulation.group.leader))
+				}
+			})
+		})
+	}
+}
