Test that keys are not granted before a change is visible

With a node that does so the test fails on:

after 7.05s: up-0 takes 0-10922/9, but up-2 holds 0-10922/7 for 3.672s

--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -197,3 +197,20 @@
 		})
 	}
 }
+
+// TestGrantBeforeChangeIsVisible guards against two holders of keys that are granted
+// after the change that gives them away was acknowledged, but before the catalog that
+// the node returns shows it.
+func TestGrantBeforeChangeIsVisible(t *testing.T) {
+	simulation := newIdleSimulation(1, 2)
+	upstream := simulation.assignUntold()
+	simulation.evacuate(upstream)
+	simulation.group.delayed = true
+	simulation.scheduler.finish(simulation.startTick(simulation.group.leader))
+	simulation.exchange(upstream)
+	simulation.group.delayed = false
+	simulation.settle(upstream)
+	if simulation.violation != "" {
+		t.Fatal(simulation.violation)
+	}
+}
