--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -214,3 +214,44 @@
 		t.Fatal(simulation.violation)
 	}
 }
+
+// TestReservationOfAnotherChangeStays guards against two holders of keys whose
+// reservation is removed by the result of an earlier change, which the tick and the
+// heartbeat of a draining upstream both proposed again.
+func TestReservationOfAnotherChangeStays(t *testing.T) {
+	const append, commit, result = "before append state.ChangeSpans", "before commit state.ChangeSpans", "after commit state.ChangeSpans"
+	simulation := newIdleSimulation(1, 4)
+	silent, draining := simulation.upstreams[0], simulation.upstreams[1]
+	simulation.almostSilence(silent, 200*time.Millisecond)
+	leader := simulation.group.leader
+	// The outcome of a first change stays unknown, and it is committed.
+	draining.instance.Draining = true
+	call := simulation.send(draining)
+	first := simulation.startHeartbeat(call)
+	simulation.scheduler.runUntil(first, commit)
+	first.timedOut = true
+	simulation.scheduler.finish(first)
+	simulation.group.commit()
+	draining.call = nil
+	// It is proposed again by a heartbeat, whose result comes late, and by a tick.
+	call = simulation.send(draining)
+	second := simulation.startHeartbeat(call)
+	simulation.scheduler.runUntil(second, result)
+	simulation.scheduler.finish(simulation.startTick(leader))
+	simulation.advance(250 * time.Millisecond)
+	// The next tick changes the owner of other keys, of which the owner is heard again.
+	tick := simulation.startTick(leader)
+	simulation.scheduler.runUntil(tick, append)
+	if !second.ended {
+		simulation.scheduler.finish(second)
+	}
+	silent.silentUntil = time.Time{}
+	simulation.exchange(silent)
+	if !tick.ended {
+		simulation.scheduler.finish(tick)
+	}
+	simulation.settle(silent)
+	if simulation.violation != "" {
+		t.Fatal(simulation.violation)
+	}
+}
