--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -255,3 +255,21 @@
 		t.Fatal(simulation.violation)
 	}
 }
+
+// TestJudgementOfEarlierTerm guards against two holders of keys that a tick gives away
+// after its host lost the lead and won it again, while an interim leader granted them
+// to their owner.
+func TestJudgementOfEarlierTerm(t *testing.T) {
+	eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
+		simulation := newIdleSimulation(2, 3)
+		simulation.silence(simulation.upstreams[0])
+		members := simulation.group.members
+		return simulation, simulation.upstreams[0], simulation.startTick(members[0]), func() {
+			simulation.group.elect(members[1], true)
+			simulation.advance(100 * time.Millisecond)
+			simulation.exchange(simulation.upstreams[0])
+			simulation.group.elect(members[0], true)
+			simulation.advance(100 * time.Millisecond)
+		}
+	})
+}
