Test heartbeats that last longer than a term

The test passes on: an answer counts for one second, and an interim leader can't give keys away within that time unless their owner releases them.

--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -273,3 +273,29 @@
 		}
 	})
 }
+
+// TestGrantOfEarlierTerm guards against two holders of keys that a heartbeat grants
+// after its host lost the lead and won it again, while an interim leader gave them to
+// another upstream.
+func TestGrantOfEarlierTerm(t *testing.T) {
+	eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
+		simulation := newIdleSimulation(2, 2)
+		upstream := simulation.assignUntold()
+		simulation.evacuate(upstream)
+		members := simulation.group.members
+		call := simulation.send(upstream)
+		call.answerDelay = 0
+		return simulation, upstream, simulation.startHeartbeat(call), func() {
+			simulation.group.elect(members[1], true)
+			for range 4 {
+				simulation.advance(100 * time.Millisecond)
+				simulation.scheduler.finish(simulation.startTick(members[1]))
+				simulation.exchange(simulation.upstreams[0])
+				simulation.exchange(simulation.upstreams[1])
+			}
+			simulation.group.elect(members[0], true)
+			simulation.advance(100 * time.Millisecond)
+			simulation.scheduler.finish(simulation.startTick(members[0]))
+		}
+	})
+}
