--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -299,3 +299,31 @@
 		}
 	})
 }
+
+// TestOvertakenHeartbeat guards against two holders of keys whose owner sent a
+// heartbeat that was processed before an earlier one: its holds last longer than those
+// of the earlier one.
+func TestOvertakenHeartbeat(t *testing.T) {
+	eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
+		simulation := newIdleSimulation(1, 3)
+		upstream := simulation.upstreams[0]
+		for upstream.call != nil {
+			simulation.step(10 * time.Millisecond)
+		}
+		upstream.instance.Slots++
+		earlier := simulation.send(upstream)
+		simulation.advance(200 * time.Millisecond)
+		first := simulation.startHeartbeat(earlier)
+		return simulation, upstream, first, func() {
+			simulation.advance(900 * time.Millisecond)
+			simulation.receive(upstream, simulation.clock.Now())
+			simulation.exchange(upstream)
+			if !first.ended {
+				simulation.scheduler.finish(first)
+			}
+			upstream.silentUntil = simulation.clock.Now().Add(time.Hour)
+			simulation.tickEvery = tickInterval
+			simulation.run(holdExpiry)
+		}
+	})
+}
