Publish the catalog before a proposal is answered

A proposer learned of its commit while Catalog still returned the state before it.

Cause: group.applyOutput answered each proposal while it applied the entry, and stored the catalog only after the last entry of the output. A member under load commits many entries in one output, and each of them takes time (addDelta compresses, the change of a large table copies it), so the gap is as long as the rest of the output.

Who relies on it, from all callers of Propose and the reads of Catalog that follow: - steer.commitSpans removes the reservation of a change, after which grantHolds grants from Catalog: still the old owner, with the old fence. - steer.HandleHeartbeat: registerInstance, then applyReleases, updatePlacement and grantHolds read Catalog; two changes of one heartbeat follow each other likewise. - steer.Poll reads the entry hosts from Catalog after RegisterEntry, and divides the rates among them: without the new one. - steer.Tick: checkSilence commits MarkSilent or RemoveInstances, then places keys. - plan.Controller decides again from Catalog after its commits; state drops what is outdated by then. Callers that go through group.Client (admin, duty, shard, host) read the catalog of their follower and wait for the index themselves.

Change: applyOutput applies all entries of the output, stores the catalog, and then answers proposals and reads. Propose states it as a guarantee.

--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -9,16 +9,44 @@
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
-// applyOutput applies committed entries and completes pending reads.
+// completedProposal is the answer to a proposal whose entry was applied.
+type completedProposal struct {
+	reply  chan proposeAnswer
+	answer proposeAnswer
+}
+
+// applyOutput applies committed entries, publishes the catalog, and then answers
+// the proposals and the pending reads.
 func (node *Node) applyOutput(output raft.Output) {
+	var completed []completedProposal
 	for _, entry := range output.Committed {
-		node.applyEntry(entry)
+		result := node.applyEntry(entry)
+		proposal, ok := node.proposals[entry.Index]
+		if !ok {
+			continue
+		}
+		delete(node.proposals, entry.Index)
+		answer := proposeAnswer{result: result}
+		if proposal.term != entry.Term {
+			answer = proposeAnswer{err: Error.New("entry %d was overwritten by another leader", entry.Index)}
+		}
+		completed = append(completed, completedProposal{reply: proposal.reply, answer: answer})
 	}
 	if len(output.Committed) > 0 {
 		node.catalog.Store(node.machine.Catalog)
+	}
+	for _, proposal := range completed {
+		proposal.reply <- proposal.answer
+	}
+	node.answerReads(output.Reads)
+	if len(output.Committed) > 0 {
 		node.startSnapshot()
 	}
-	for _, read := range output.Reads {
+}
+
+// answerReads sends the index of each read, or 0 if the member is not the leader.
+func (node *Node) answerReads(reads []raft.ReadReady) {
+	for _, read := range reads {
 		reply, ok := node.reads[read.ID]
 		if !ok {
 			continue
@@ -32,23 +60,13 @@
 	}
 }
 
-func (node *Node) applyEntry(entry raft.Entry) {
-	result := state.Result{Index: entry.Index, Outcome: state.OutcomeDone}
+// applyEntry applies an entry and returns its result.
+func (node *Node) applyEntry(entry raft.Entry) state.Result {
 	if entry.Kind == raft.EntryCommand {
-		result = node.applyCommand(entry)
-	} else {
-		node.machine.Catalog = node.machine.Catalog.AdvanceTo(entry.Index)
-	}
-	proposal, ok := node.proposals[entry.Index]
-	if !ok {
-		return
-	}
-	delete(node.proposals, entry.Index)
-	if proposal.term != entry.Term {
-		proposal.reply <- proposeAnswer{err: Error.New("entry %d was overwritten by another leader", entry.Index)}
-		return
+		return node.applyCommand(entry)
 	}
-	proposal.reply <- proposeAnswer{result: result}
+	node.machine.Catalog = node.machine.Catalog.AdvanceTo(entry.Index)
+	return state.Result{Index: entry.Index, Outcome: state.OutcomeDone}
 }
 
 // applyCommand applies a command. A command that this version cannot decode is
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -159,6 +159,21 @@
 // Open reads the disk, and starts the listener and the node's event loop. A new
 // node belongs to no group until it is formed or added to one.
 func Open(options Options) (*Node, error) {
+	node, err := load(options)
+	if err != nil {
+		return nil, err
+	}
+	node.server, err = listen(node)
+	if err != nil {
+		return nil, err
+	}
+	go node.run()
+	return node, nil
+}
+
+// load returns a node with the state of its disk. Its event loop is not running
+// yet.
+func load(options Options) (*Node, error) {
 	disk, restored, err := store.Open(options.DataFolder)
 	if err != nil {
 		return nil, Error.New("open data folder: %w", err)
@@ -187,11 +202,6 @@
 		return nil, err
 	}
 	node.publishStatus()
-	node.server, err = listen(node)
-	if err != nil {
-		return nil, err
-	}
-	go node.run()
 	return node, nil
 }
 
@@ -513,7 +523,8 @@
 }
 
 // Propose commits a command through this member. It fails with ErrNotLeader if
-// the member is not the leader.
+// the member is not the leader. When it returns a result, Catalog already includes
+// the command.
 func (node *Node) Propose(ctx context.Context, command state.Command) (state.Result, error) {
 	data, err := state.EncodeCommand(command)
 	if err != nil {
