Bind a proposal to the term it was decided in

A leader decides on what it knows only in its own term, such as which holds have ended. Between the decision and node.Propose it can lose the lead and win it again, and Propose then commits the old decision in the new term, in which another leader may have granted holds meanwhile.

Change: Node.ProposeInTerm commits a command only if the member leads in exactly the given term when the entry is appended. The event loop checks it, in node.propose, where nothing can come between the check and the append; other proposals of the batch go on. A refused proposal fails with ErrNotLeader and nothing is in the log, so its outcome is known.

Ruled out: a check by the caller before Propose, since the lead can change while the request waits in the inbox.

--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -207,7 +207,10 @@
 
 type proposeRequest struct {
 	command []byte
-	reply   chan proposeAnswer
+	// inTerm binds the proposal to term.
+	inTerm bool
+	term   uint64
+	reply  chan proposeAnswer
 }
 
 type proposeAnswer struct {
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -381,17 +382,26 @@
 	}
 }
 
-// propose appends all proposed commands of the batch to the log at once.
+// propose appends all proposed commands of the batch to the log at once, except
+// those that are bound to a term in which this member does not lead now.
 func (node *Node) propose(work *batchWork) {
-	if len(work.proposals) == 0 {
+	proposals := slices.DeleteFunc(work.proposals, func(proposal proposeRequest) bool {
+		leads := node.core.Role() == raft.RoleLeader && node.core.Term() == proposal.term
+		if !proposal.inTerm || leads {
+			return false
+		}
+		proposal.reply <- proposeAnswer{notLeader: true}
+		return true
+	})
+	if len(proposals) == 0 {
 		return
 	}
-	commands := make([][]byte, 0, len(work.proposals))
-	for _, proposal := range work.proposals {
+	commands := make([][]byte, 0, len(proposals))
+	for _, proposal := range proposals {
 		commands = append(commands, proposal.command)
 	}
 	output := node.step(raft.Propose{Commands: commands}, work)
-	for offset, proposal := range work.proposals {
+	for offset, proposal := range proposals {
 		if output.Err != nil {
 			proposal.reply <- proposeAnswer{notLeader: true}
 			continue
@@ -526,11 +536,23 @@
 // the member is not the leader. When it returns a result, Catalog already includes
 // the command.
 func (node *Node) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	return node.proposeCommand(ctx, command, proposeRequest{})
+}
+
+// ProposeInTerm is like Propose, but fails with ErrNotLeader unless the member leads
+// in exactly this term when the command is appended to the log. It is for commands
+// that are decided on what a leader knows only in its own term.
+func (node *Node) ProposeInTerm(ctx context.Context, term uint64, command state.Command) (state.Result, error) {
+	return node.proposeCommand(ctx, command, proposeRequest{inTerm: true, term: term})
+}
+
+func (node *Node) proposeCommand(ctx context.Context, command state.Command, request proposeRequest) (state.Result, error) {
 	data, err := state.EncodeCommand(command)
 	if err != nil {
 		return state.Result{}, Error.New("propose: %w", err)
 	}
-	answer, err := node.proposeData(ctx, data)
+	request.command = data
+	answer, err := node.proposeData(ctx, request)
 	if err != nil {
 		return state.Result{}, err
 	}
@@ -544,9 +566,10 @@
 // proposed or read.
 var ErrNotLeader = Error.New("this control host is not the leader")
 
-func (node *Node) proposeData(ctx context.Context, data []byte) (proposeAnswer, error) {
+func (node *Node) proposeData(ctx context.Context, request proposeRequest) (proposeAnswer, error) {
 	reply := make(chan proposeAnswer, 1)
-	if err := node.enqueue(ctx, proposeRequest{command: data, reply: reply}); err != nil {
+	request.reply = reply
+	if err := node.enqueue(ctx, request); err != nil {
 		return proposeAnswer{}, err
 	}
 	select {
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -107,7 +107,7 @@
 func (control *Control) Propose(args ProposeArgs, reply *ProposeReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	answer, err := control.node.proposeData(ctx, args.Command)
+	answer, err := control.node.proposeData(ctx, proposeRequest{command: args.Command})
 	if err != nil {
 		return err
 	}
