Grant holds and reserve key ranges in single steps of one table

The coordinator kept one reservation a service, by which a heartbeat is not granted keys that a change is about to give away, and whoever got the result of a proposal deleted the reservation that stood there by then. A change whose outcome is awaited is proposed again by the tick and by each heartbeat of a draining upstream; the repeat comes back stale and deleted the next change's reservation. Until that change was committed its keys were granted to their old owner. The class: a state is looked at, and an act relies on it later under another lock, on another catalog, or for another change. Three more of that class stood in the same path: the judgement that holds have ended and the reservation were two steps, the grant read its catalog before it took the lock, and a reservation ended with the answer of the proposal, not with the catalog that shows the change.

Ruled out: a check that the deleted reservation is one's own, in the old place. It mends this trace, but leaves the judgement and the grant as they were.

Change. holdTable has one mutex and takes the steps grant, assess, reserve, resume and settle under it, each on the catalog at that moment and for one term. A reservation belongs to a change; it is open while the service's table is still at the version on which the change is based, so no result of another change and no late catalog can end it. Before it reserves, the table decides again for each range that is given away at once whether its owner may hold it, and rejects the change of that range if so. One proposal of a reservation runs at a time. Loads and health keep the coordinator's mutex, so that heartbeats don't wait for sums of loads; nothing is logged or committed under either.

--- a/internal/control/spans/spans.go
+++ b/internal/control/spans/spans.go
@@ -86,6 +86,17 @@
 	return all[sort.Search(len(all), func(position int) bool { return all[position].To >= key })]
 }
 
+// Overlapping returns the spans that contain keys of the range, both ends included.
+func (table Table) Overlapping(from, to uint16) []Span {
+	all := table.All()
+	first := sort.Search(len(all), func(position int) bool { return all[position].To >= from })
+	end := first
+	for end < len(all) && all[end].From <= to {
+		end++
+	}
+	return all[first:end]
+}
+
 // OwnedBy returns the spans of an owner.
 func (table Table) OwnedBy(owner Owner) []Span {
 	var owned []Span
--- /dev/null
+++ b/internal/control/steer/holds.go
@@ -0,0 +1,414 @@
+package steer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"damaskcrank.example/damaskcrank/internal/control/spans"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// upstreamState is what the leader knows of one process of an upstream.
+type upstreamState struct {
+	sequence      uint64
+	lastHeartbeat time.Time
+	// holdsUntil is when all holds of this process have certainly expired.
+	holdsUntil time.Time
+	// interval is the time between two regular heartbeats.
+	interval time.Duration
+}
+
+// moveID identifies a span that is moving away from an owner.
+type moveID struct {
+	service string
+	from    uint16
+	owner   spans.Owner
+}
+
+// reservation is an ownership change that may be committed. It is open, and keeps
+// its key ranges from being granted, while the service's table is still at the
+// version that the change is based on.
+type reservation struct {
+	command state.ChangeSpans
+	// term is the leadership term in which the change was decided.
+	term uint64
+	// proposing is set while the outcome of a proposal is awaited.
+	proposing bool
+}
+
+// isOpen reports whether the change may still be committed, and has not been as of
+// the catalog.
+func (reservation *reservation) isOpen(catalog *state.Catalog) bool {
+	return reservation != nil && catalog.Spans[reservation.command.Service].Version == reservation.command.Base
+}
+
+func (reservation *reservation) covers(span spans.Span) bool {
+	for _, change := range reservation.command.Changes {
+		if change.From <= span.To && change.To >= span.From {
+			return true
+		}
+	}
+	return false
+}
+
+// holdTable knows which upstreams may hold keys in the leader's term. Granting
+// holds, deciding that an owner holds nothing, and reserving key ranges for a change
+// that relies on it are single steps under its mutex, each on the catalog as it is
+// at that moment. Steps of a term that has ended fail.
+type holdTable struct {
+	node  Node
+	clock clockwork.Clock
+
+	mutex     sync.Mutex
+	term      uint64
+	termStart time.Time
+	upstreams map[spans.Owner]*upstreamState
+	// departing is when each upstream that has deregistered did so.
+	departing map[spans.Owner]time.Time
+	// reservations holds the latest reservation of each service.
+	reservations map[string]*reservation
+	// movingSince is when each span was first seen to be moving.
+	movingSince map[moveID]time.Time
+}
+
+// reset discards the state of earlier terms. All commands of earlier terms must have
+// been applied.
+func (holdtable *holdTable) reset(term uint64) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	holdtable.term = term
+	holdtable.termStart = holdtable.clock.Now()
+	holdtable.upstreams = map[spans.Owner]*upstreamState{}
+	holdtable.departing = map[spans.Owner]time.Time{}
+	holdtable.reservations = map[string]*reservation{}
+	holdtable.movingSince = map[moveID]time.Time{}
+}
+
+// start returns the current term and when it began.
+func (holdtable *holdTable) start() (term uint64, since time.Time) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	return holdtable.term, holdtable.termStart
+}
+
+// isCurrent reports whether the heartbeat comes from the newest known process of
+// the upstream and at its address, and is later than all heartbeats recorded from
+// that process.
+func (holdtable *holdTable) isCurrent(heartbeat Heartbeat) bool {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	catalog := holdtable.node.Catalog()
+	instance := heartbeat.Instance
+	if isReplaced(catalog, instance.Owner()) {
+		return false
+	}
+	for id, other := range catalog.Instances {
+		if id != instance.ID && other.Address == instance.Address && other.Born > instance.Born {
+			return false
+		}
+	}
+	known, ok := holdtable.upstreams[instance.Owner()]
+	return !ok || heartbeat.Sequence > known.sequence
+}
+
+// isReplaced reports whether a later process of the upstream is known.
+func isReplaced(catalog *state.Catalog, owner spans.Owner) bool {
+	present, ok := catalog.Instances[owner.ID]
+	return ok && present.Born > owner.Born
+}
+
+// record stores the time and sequence of a heartbeat.
+func (holdtable *holdTable) record(term uint64, heartbeat Heartbeat, received time.Time) error {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	if holdtable.term != term {
+		return ErrNotLeader
+	}
+	owner := heartbeat.Instance.Owner()
+	known, ok := holdtable.upstreams[owner]
+	if !ok {
+		// An earlier leader may have granted holds until just before this term.
+		known = &upstreamState{holdsUntil: holdtable.holdsUntil(owner)}
+		holdtable.upstreams[owner] = known
+	}
+	known.sequence = max(known.sequence, heartbeat.Sequence)
+	if since := received.Sub(known.lastHeartbeat); since > minHeartbeatInterval && since < silentAfter {
+		known.interval = since
+	}
+	known.lastHeartbeat = received
+	return nil
+}
+
+// grant decides which holds the upstream gets in the reply to its heartbeat, and
+// records when they expire.
+func (holdtable *holdTable) grant(term uint64, heartbeat Heartbeat, received time.Time) (HeartbeatReply, grant, error) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	if holdtable.term != term {
+		return HeartbeatReply{}, grant{}, ErrNotLeader
+	}
+	catalog := holdtable.node.Catalog()
+	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
+	known, ok := holdtable.upstreams[owner]
+	if !ok {
+		return HeartbeatReply{}, grant{}, ErrNotLeader
+	}
+	reserved := holdtable.reservations[service]
+	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
+	grant := grant{term: term, index: catalog.Index, decidedAt: holdtable.clock.Now(), received: received}
+	for _, span := range catalog.Spans[service].OwnedBy(owner) {
+		switch {
+		case span.Moving():
+			grant.moving = append(grant.moving, span)
+		case reserved.isOpen(catalog) && reserved.covers(span):
+			grant.reserved = append(grant.reserved, span)
+		default:
+			grant.holds = append(grant.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
+		}
+	}
+	if len(grant.holds) > 0 {
+		known.holdsUntil = received.Add(holdExpiry)
+	}
+	heartbeatreply.Holds, grant.holdsUntil = grant.holds, known.holdsUntil
+	return heartbeatreply, grant, nil
+}
+
+// holdsUntil returns when all holds that an owner was granted have certainly expired.
+func (holdtable *holdTable) holdsUntil(owner spans.Owner) time.Time {
+	if known, ok := holdtable.upstreams[owner]; ok {
+		return known.holdsUntil
+	}
+	return holdtable.termStart.Add(holdExpiry)
+}
+
+// holdsEnded reports whether an owner certainly holds no keys: its process is known
+// to have been replaced, or all holds that it was granted have expired.
+func (holdtable *holdTable) holdsEnded(catalog *state.Catalog, owner spans.Owner, now time.Time) bool {
+	return owner == (spans.Owner{}) || isReplaced(catalog, owner) || now.After(holdtable.holdsUntil(owner))
+}
+
+// assessment is what the placement of a service's keys is based on.
+type assessment struct {
+	catalog *state.Catalog
+	term    uint64
+	takenAt time.Time
+	// expired is set for the owners that certainly hold no keys, and holdsUntil is
+	// when the holds of each owner expire.
+	expired    map[spans.Owner]bool
+	holdsUntil map[spans.Owner]time.Time
+	// untilNextHeartbeat is the time until each upstream's next heartbeat.
+	untilNextHeartbeat map[spans.Owner]time.Duration
+}
+
+// assess returns the inputs for placing a service's keys. What they say of holds may
+// change until keys are reserved, so reservePlanned decides on it again.
+func (holdtable *holdTable) assess(term uint64, service string) (assessment, bool) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	if holdtable.term != term {
+		return assessment{}, false
+	}
+	assessment := assessment{
+		catalog: holdtable.node.Catalog(), term: term, takenAt: holdtable.clock.Now(),
+		expired: map[spans.Owner]bool{}, holdsUntil: map[spans.Owner]time.Time{},
+		untilNextHeartbeat: map[spans.Owner]time.Duration{},
+	}
+	for _, span := range assessment.catalog.Spans[service].All() {
+		if _, done := assessment.expired[span.Owner]; done {
+			continue
+		}
+		assessment.expired[span.Owner] = holdtable.holdsEnded(assessment.catalog, span.Owner, assessment.takenAt)
+		assessment.holdsUntil[span.Owner] = holdtable.holdsUntil(span.Owner)
+	}
+	for _, instance := range assessment.catalog.InstancesOf(service) {
+		owner := instance.Owner()
+		assessment.untilNextHeartbeat[owner] = holdtable.untilNextHeartbeat(owner, assessment.takenAt)
+	}
+	return assessment, true
+}
+
+// untilNextHeartbeat returns the time until an upstream's next heartbeat is expected.
+func (holdtable *holdTable) untilNextHeartbeat(owner spans.Owner, now time.Time) time.Duration {
+	known, ok := holdtable.upstreams[owner]
+	if !ok {
+		return defaultHeartbeatInterval
+	}
+	interval := known.interval
+	if interval == 0 {
+		interval = defaultHeartbeatInterval
+	}
+	return max(0, interval-now.Sub(known.lastHeartbeat))
+}
+
+// reservePlanned reserves key ranges for changes that were planned on an assessment.
+// It leaves out each change that gives keys away at once although their owner may
+// hold them now, and returns those as rejected. The reservation is nil if nothing can
+// be reserved.
+func (holdtable *holdTable) reservePlanned(
+	assessment assessment, service string, changes []spans.Change,
+) (reserved *reservation, rejected []spans.Change) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
+	table := catalog.Spans[service]
+	if holdtable.term != assessment.term || table.Version != assessment.catalog.Spans[service].Version {
+		return nil, nil
+	}
+	var valid []spans.Change
+	for _, change := range changes {
+		if change.Owner != (spans.Owner{}) && !holdtable.unheld(catalog, table, change, now) {
+			rejected = append(rejected, change)
+			continue
+		}
+		valid = append(valid, change)
+	}
+	return holdtable.reserve(catalog, service, valid), rejected
+}
+
+// unheld reports whether nobody holds any key of the range that is to change.
+func (holdtable *holdTable) unheld(catalog *state.Catalog, table spans.Table, change spans.Change, now time.Time) bool {
+	for _, span := range table.Overlapping(change.From, change.To) {
+		if !holdtable.holdsEnded(catalog, span.Owner, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// reserveReleased reserves moving keys for their next owner that the upstream, as
+// its latest heartbeat shows, no longer holds.
+func (holdtable *holdTable) reserveReleased(term uint64, heartbeat Heartbeat) (*reservation, []letGo) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
+	if holdtable.term != term {
+		return nil, nil
+	}
+	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
+	var changes []spans.Change
+	var gone []letGo
+	for _, span := range catalog.Spans[service].OwnedBy(owner) {
+		if !span.Moving() || overlaps(heartbeat.Holds, span) {
+			continue
+		}
+		handover, released := releaseToken(heartbeat.Released, span)
+		// Without a release, an answer in flight may still grant the keys.
+		if !released && !holdtable.movingLongerThan(service, span, answerExpiry, now) {
+			continue
+		}
+		gone = append(gone, letGo{span: span, released: released})
+		changes = append(changes, spans.Change{
+			From: span.From, To: span.To, Owner: span.Next, Handover: handover,
+			Settle: holdtable.untilNextHeartbeat(span.Next, now) + settleMargin,
+		})
+	}
+	return holdtable.reserve(catalog, service, changes), gone
+}
+
+// letGo is a moving span that its owner no longer holds, as it released the span or
+// left it out of its heartbeats.
+type letGo struct {
+	span     spans.Span
+	released bool
+}
+
+// movingLongerThan reports whether a span has been moving for longer than the
+// duration.
+func (holdtable *holdTable) movingLongerThan(service string, span spans.Span, duration time.Duration, now time.Time) bool {
+	move := moveID{service: service, from: span.From, owner: span.Owner}
+	since, ok := holdtable.movingSince[move]
+	if !ok {
+		holdtable.movingSince[move] = now
+		return false
+	}
+	return now.Sub(since) > duration
+}
+
+// reserve keeps the key ranges of the changes from being granted. It returns nil if
+// there are none, or if another change of the service is under way.
+func (holdtable *holdTable) reserve(catalog *state.Catalog, service string, changes []spans.Change) *reservation {
+	if len(changes) == 0 || holdtable.reservations[service].isOpen(catalog) {
+		return nil
+	}
+	reservation := &reservation{
+		command: state.ChangeSpans{Service: service, Base: catalog.Spans[service].Version, Changes: changes},
+		term:    holdtable.term, proposing: true,
+	}
+	holdtable.reservations[service] = reservation
+	return reservation
+}
+
+// resume returns the open reservation of a service that has to be proposed again,
+// as its outcome is unknown. Open is also set if another proposal of it is under way.
+func (holdtable *holdTable) resume(term uint64, service string) (unresolved *reservation, open bool) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	reserved := holdtable.reservations[service]
+	if holdtable.term != term || !reserved.isOpen(holdtable.node.Catalog()) {
+		return nil, false
+	}
+	if reserved.proposing {
+		return nil, true
+	}
+	reserved.proposing = true
+	return reserved, true
+}
+
+// settle ends a proposal of the reservation. A change that is known to have no effect
+// is discarded; any other stays reserved until the catalog shows a later table.
+func (holdtable *holdTable) settle(reserved *reservation, noEffect bool) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	reserved.proposing = false
+	if service := reserved.command.Service; noEffect && holdtable.reservations[service] == reserved {
+		delete(holdtable.reservations, service)
+	}
+}
+
+// trackMoves records since when each span of a service has been moving.
+func (holdtable *holdTable) trackMoves(term uint64, service string) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	if holdtable.term != term {
+		return
+	}
+	present := map[moveID]bool{}
+	now := holdtable.clock.Now()
+	for _, span := range holdtable.node.Catalog().Spans[service].Spans {
+		if !span.Moving() {
+			continue
+		}
+		move := moveID{service: service, from: span.From, owner: span.Owner}
+		present[move] = true
+		if _, ok := holdtable.movingSince[move]; !ok {
+			holdtable.movingSince[move] = now
+		}
+	}
+	for move := range holdtable.movingSince {
+		if move.service == service && !present[move] {
+			delete(holdtable.movingSince, move)
+		}
+	}
+}
+
+// silence returns the time since an upstream's last heartbeat, and whether the
+// upstream has deregistered.
+func (holdtable *holdTable) silence(owner spans.Owner, now time.Time) (silence time.Duration, deregistered bool) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	lastHeartbeat := holdtable.termStart
+	if upstream, ok := holdtable.upstreams[owner]; ok {
+		lastHeartbeat = upstream.lastHeartbeat
+	}
+	_, deregistered = holdtable.departing[owner]
+	return now.Sub(lastHeartbeat), deregistered
+}
+
+// depart records that an upstream has deregistered.
+func (holdtable *holdTable) depart(owner spans.Owner) {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	holdtable.departing[owner] = holdtable.clock.Now()
+}
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,28 +11,40 @@
 )
 
 // updatePlacement commits the ownership changes that are due for a service.
-func (coordinator *Coordinator) updatePlacement(ctx context.Context, catalog *state.Catalog, service string) {
-	coordinator.mutex.Lock()
-	unresolved, busy := coordinator.pending[service]
-	coordinator.mutex.Unlock()
-	if busy {
-		coordinator.commitSpans(ctx, unresolved)
+func (coordinator *Coordinator) updatePlacement(ctx context.Context, term uint64, service string) {
+	unresolved, open := coordinator.holds.resume(term, service)
+	if unresolved != nil {
+		coordinator.commit(ctx, unresolved)
+	}
+	if open {
 		return
 	}
-	placement := coordinator.newPlacement(catalog, service)
-	if coordinator.awaitingUpstreams(catalog, service) {
+	assessment, ok := coordinator.holds.assess(term, service)
+	if !ok || coordinator.awaitingUpstreams(assessment.catalog, service) {
 		return
 	}
+	placement := coordinator.newPlacement(assessment, service)
 	changes := placement.reassign()
-	if len(changes) == 0 && coordinator.balanceDue() && coordinator.clock.Now().Sub(coordinator.termStart) > measureTime {
+	if len(changes) == 0 && coordinator.balanceDue() && coordinator.measured() {
 		var err error
 		if changes, err = placement.balance(); err != nil {
 			coordinator.log.WithError(err).WithField("service", service).Warn(logPrefix + "some keys could not be rebalanced")
 		}
 	}
-	coordinator.logReassigned(catalog, service, placement, changes)
-	coordinator.changeSpans(ctx, service, catalog.Spans[service], changes)
-	coordinator.trackMoves(service)
+	coordinator.logReassigned(assessment, service, changes)
+	reserved, rejected := coordinator.holds.reservePlanned(assessment, service, changes)
+	coordinator.logRejected(assessment, service, rejected)
+	if reserved != nil {
+		coordinator.commit(ctx, reserved)
+	}
+	coordinator.holds.trackMoves(term, service)
+}
+
+// measured reports whether loads and service times have been measured for long enough
+// in this term to balance load.
+func (coordinator *Coordinator) measured() bool {
+	_, since := coordinator.holds.start()
+	return coordinator.clock.Now().Sub(since) > measureTime
 }
 
 // awaitingUpstreams reports whether a service without owners should wait for more
@@ -65,42 +76,19 @@
 	return true
 }
 
-// trackMoves records since when each span has been moving.
-func (coordinator *Coordinator) trackMoves(service string) {
-	table := coordinator.node.Catalog().Spans[service]
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	present := map[moveID]bool{}
-	now := coordinator.clock.Now()
-	for _, span := range table.Spans {
-		if !span.Moving() {
-			continue
-		}
-		move := moveID{service: service, from: span.From, owner: span.Owner}
-		present[move] = true
-		if _, ok := coordinator.movingSince[move]; !ok {
-			coordinator.movingSince[move] = now
-		}
-	}
-	maps.DeleteFunc(coordinator.movingSince, func(move moveID, _ time.Time) bool {
-		return move.service == service && !present[move]
-	})
-}
-
 // newPlacement collects the inputs for placing a service's keys.
-func (coordinator *Coordinator) newPlacement(catalog *state.Catalog, service string) *placement {
+func (coordinator *Coordinator) newPlacement(assessment assessment, service string) *placement {
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
-	now := coordinator.clock.Now()
+	catalog, now := assessment.catalog, assessment.takenAt
 	loads, ok := coordinator.loads[service]
 	if !ok {
 		loads = newKeyLoads(now)
 		coordinator.loads[service] = loads
 	}
 	placement := &placement{
-		table: catalog.Spans[service], loads: loads.sums(now), expired: map[spans.Owner]bool{},
-		ownedLoad: map[spans.Owner]float64{}, untilNextHeartbeat: map[spans.Owner]time.Duration{},
-		term: coordinator.term, takenAt: now, holdsUntil: map[spans.Owner]time.Time{},
+		table: catalog.Spans[service], loads: loads.sums(now), expired: assessment.expired,
+		ownedLoad: map[spans.Owner]float64{}, untilNextHeartbeat: assessment.untilNextHeartbeat,
 	}
 	instances := catalog.InstancesOf(service)
 	slices.SortFunc(instances, compareInstances)
@@ -111,19 +99,17 @@
 		avoided := hasWarm && coordinator.health.avoided(instance.ID, now)
 		if catalog.Schedulable(instance) && !instance.Silent && !avoided && (!instance.Cold || !hasWarm) {
 			placement.candidates = append(placement.candidates, instance.Owner())
-			placement.untilNextHeartbeat[instance.Owner()] = coordinator.untilNextHeartbeat(instance.Owner(), now)
 		}
 	}
 	placement.weights = coordinator.health.weights(instances)
-	for _, span := range placement.table.All() {
-		placement.expired[span.Owner] = coordinator.holdsEnded(catalog, span.Owner, now)
-		placement.holdsUntil[span.Owner] = coordinator.holdsUntil(span.Owner)
-		if !placement.expired[span.Owner] {
-			instance, known := catalog.Instances[span.Owner.ID]
-			leaving := !known || instance.Born != span.Owner.Born || !catalog.Schedulable(instance) ||
-				hasWarm && coordinator.health.avoided(instance.ID, now)
-			placement.setLeaving(span.Owner, leaving)
+	for owner, expired := range placement.expired {
+		if expired {
+			continue
 		}
+		instance, known := catalog.Instances[owner.ID]
+		leaving := !known || instance.Born != owner.Born || !catalog.Schedulable(instance) ||
+			hasWarm && coordinator.health.avoided(instance.ID, now)
+		placement.setLeaving(owner, leaving)
 	}
 	return placement
 }
@@ -139,39 +125,6 @@
 	}
 }
 
-// untilNextHeartbeat returns the time until an upstream's next heartbeat is expected.
-func (coordinator *Coordinator) untilNextHeartbeat(owner spans.Owner, now time.Time) time.Duration {
-	known, ok := coordinator.upstreams[owner]
-	if !ok {
-		return defaultHeartbeatInterval
-	}
-	interval := known.interval
-	if interval == 0 {
-		interval = defaultHeartbeatInterval
-	}
-	return max(0, interval-now.Sub(known.lastHeartbeat))
-}
-
-// holdsEnded reports whether an owner certainly holds no keys: its process is known
-// to have been replaced, or all holds that it was granted have expired.
-func (coordinator *Coordinator) holdsEnded(catalog *state.Catalog, owner spans.Owner, now time.Time) bool {
-	if owner == (spans.Owner{}) {
-		return true
-	}
-	if present, ok := catalog.Instances[owner.ID]; ok && present.Born > owner.Born {
-		return true
-	}
-	return now.After(coordinator.holdsUntil(owner))
-}
-
-// holdsUntil returns when all holds that an owner was granted have certainly expired.
-func (coordinator *Coordinator) holdsUntil(owner spans.Owner) time.Time {
-	if known, ok := coordinator.upstreams[owner]; ok {
-		return known.holdsUntil
-	}
-	return coordinator.termStart.Add(holdExpiry)
-}
-
 // placement decides which upstreams own a service's keys. Its decisions depend only
 // on its fields.
 type placement struct {
@@ -190,11 +143,6 @@
 	weights map[spans.Owner]float64
 	// untilNextHeartbeat is the time until each candidate's next heartbeat.
 	untilNextHeartbeat map[spans.Owner]time.Duration
-	// term and takenAt are when the other fields were read, and holdsUntil is when the
-	// holds of each owner expired or will expire as of then. They are only logged.
-	term       uint64
-	takenAt    time.Time
-	holdsUntil map[spans.Owner]time.Time
 }
 
 func (placement *placement) setLeaving(owner spans.Owner, leaving bool) {
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -53,7 +53,7 @@
 
 // Poll processes an entry host's report and grants its shares of the rates.
 func (coordinator *Coordinator) Poll(ctx context.Context, args PollArgs) (PollReply, error) {
-	if !coordinator.ensureLeader(ctx) {
+	if _, leads := coordinator.lead(ctx); !leads {
 		return PollReply{NotLeader: true, Leader: coordinator.leaderAddress()}, nil
 	}
 	catalog := coordinator.node.Catalog()
@@ -125,7 +125,7 @@
 
 // Lend lends tokens of a workspace's rate to an entry host.
 func (coordinator *Coordinator) Lend(ctx context.Context, args LoanArgs) LoanReply {
-	if !coordinator.ensureLeader(ctx) {
+	if _, leads := coordinator.lead(ctx); !leads {
 		return LoanReply{NotLeader: true, Leader: coordinator.leaderAddress()}
 	}
 	workspace := coordinator.node.Catalog().View().Workspaces()[args.Workspace]
@@ -146,14 +146,16 @@
 }
 
 // removeEntries removes entry hosts that have stopped polling.
-func (coordinator *Coordinator) removeEntries(ctx context.Context, catalog *state.Catalog) {
+func (coordinator *Coordinator) removeEntries(ctx context.Context) {
+	catalog := coordinator.node.Catalog()
+	_, termStart := coordinator.holds.start()
 	coordinator.mutex.Lock()
 	now := coordinator.clock.Now()
 	var gone []string
 	for name := range catalog.Entries {
 		lastPoll, ok := coordinator.entries[name]
 		if !ok {
-			lastPoll = coordinator.termStart
+			lastPoll = termStart
 		}
 		if now.Sub(lastPoll) > removeEntryAfter {
 			gone = append(gone, name)
--- a/internal/control/steer/simulation_test.go
+++ b/internal/control/steer/simulation_test.go
@@ -62,7 +62,7 @@
 // can only be locked by the caller.
 func (scheduler *scheduler) pause(seam string) {
 	operation := scheduler.running
-	if operation == nil || operation.free || !unlocked(&operation.coordinator.mutex) {
+	if operation == nil || operation.free || operation.coordinator.locked() {
 		return
 	}
 	operation.seam = seam
@@ -70,12 +70,15 @@
 	<-operation.resume
 }
 
-func unlocked(mutex *sync.Mutex) bool {
-	if !mutex.TryLock() {
-		return false
+// locked reports whether one of the mutexes is locked.
+func (coordinator *Coordinator) locked() bool {
+	for _, mutex := range []*sync.Mutex{&coordinator.mutex, &coordinator.holds.mutex} {
+		if !mutex.TryLock() {
+			return true
+		}
+		mutex.Unlock()
 	}
-	mutex.Unlock()
-	return true
+	return false
 }
 
 // step continues an operation until its next seam.
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -65,24 +65,6 @@
 	Status() group.Status
 }
 
-// upstreamState is what the leader knows of one process of an upstream.
-type upstreamState struct {
-	sequence      uint64
-	lastHeartbeat time.Time
-	// holdsUntil is when all holds of this process have certainly expired.
-	holdsUntil time.Time
-	holds      []Hold
-	// interval is the time between two regular heartbeats.
-	interval time.Duration
-}
-
-// moveID identifies a span that is moving away from an owner.
-type moveID struct {
-	service string
-	from    uint16
-	owner   spans.Owner
-}
-
 // Coordinator runs the leader's background work and serves its calls. Its state
 // belongs to one leadership term and is reset at the start of the next.
 type Coordinator struct {
@@ -93,17 +75,12 @@
 	done  chan struct{}
 	once  sync.Once
 
-	mutex     sync.Mutex
-	term      uint64
-	termStart time.Time
-	upstreams map[spans.Owner]*upstreamState
-	// departing is when each upstream that has deregistered did so.
-	departing map[spans.Owner]time.Time
-	// pending are ownership changes whose outcome is unknown, by service. Their key
-	// ranges are not granted to any upstream.
-	pending map[string]state.ChangeSpans
-	// movingSince is when each span was first seen to be moving.
-	movingSince map[moveID]time.Time
+	holds *holdTable
+	// termMutex serializes the starts of terms.
+	termMutex sync.Mutex
+
+	// mutex guards the fields below. It is not held together with that of holds.
+	mutex sync.Mutex
 	// firstSeen is when each service without owners was first seen to have upstreams.
 	firstSeen map[string]time.Time
 	loads     map[string]*keyLoads
@@ -116,7 +93,10 @@
 
 // New returns the Coordinator of a control host. Start must be called to run it.
 func New(node Node, clock clockwork.Clock, logger log.Interface) *Coordinator {
-	coordinator := &Coordinator{node: node, clock: clock, log: logger, stop: make(chan struct{}), done: make(chan struct{})}
+	coordinator := &Coordinator{
+		node: node, clock: clock, log: logger, stop: make(chan struct{}), done: make(chan struct{}),
+		holds: &holdTable{node: node, clock: clock},
+	}
 	coordinator.reset(0)
 	return coordinator
 }
@@ -144,63 +124,67 @@
 	}
 }
 
-// reset discards the state of earlier terms.
+// reset discards the state of earlier terms. The term of holds changes last, since
+// it lets calls use the rest.
 func (coordinator *Coordinator) reset(term uint64) {
-	now := coordinator.clock.Now()
-	coordinator.term = term
-	coordinator.termStart = now
-	coordinator.upstreams = map[spans.Owner]*upstreamState{}
-	coordinator.departing = map[spans.Owner]time.Time{}
-	coordinator.pending = map[string]state.ChangeSpans{}
-	coordinator.movingSince = map[moveID]time.Time{}
+	coordinator.mutex.Lock()
 	coordinator.firstSeen = map[string]time.Time{}
 	coordinator.loads = map[string]*keyLoads{}
 	coordinator.health = healthTable{}
 	coordinator.entries = map[string]time.Time{}
-	coordinator.allocator.Reset(now, term)
+	coordinator.allocator.Reset(coordinator.clock.Now(), term)
+	coordinator.mutex.Unlock()
+	coordinator.holds.reset(term)
 }
 
-// ensureLeader reports whether this host may act as leader, and resets the state if
-// a new term has begun.
-func (coordinator *Coordinator) ensureLeader(ctx context.Context) bool {
-	if !coordinator.node.HoldsLease() {
+// startTerm resets the state if the term is later than that of the state, and reports
+// whether it was.
+func (coordinator *Coordinator) startTerm(term uint64) bool {
+	coordinator.termMutex.Lock()
+	defer coordinator.termMutex.Unlock()
+	if current, _ := coordinator.holds.start(); current >= term {
 		return false
 	}
-	term := coordinator.node.Status().Term
-	coordinator.mutex.Lock()
-	current := coordinator.term == term
-	coordinator.mutex.Unlock()
-	if current {
-		return true
+	coordinator.reset(term)
+	return true
+}
+
+// lead returns the term in which this host may act as leader, and resets the state
+// if a new term has begun.
+func (coordinator *Coordinator) lead(ctx context.Context) (term uint64, ok bool) {
+	if !coordinator.node.HoldsLease() {
+		return 0, false
+	}
+	term = coordinator.node.Status().Term
+	if current, _ := coordinator.holds.start(); current == term {
+		return term, true
 	}
 	// Everything that earlier leaders committed must be applied before the first grant.
 	if _, err := coordinator.node.ReadLinearizable(ctx); err != nil {
-		return false
+		return 0, false
 	}
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	if coordinator.term < term {
-		coordinator.reset(term)
+	if coordinator.startTerm(term) {
 		coordinator.log.WithField("term", term).Info(logPrefix + "this host became leader")
 	}
-	return coordinator.term == term && coordinator.node.HoldsLease()
+	current, _ := coordinator.holds.start()
+	return term, current == term && coordinator.node.HoldsLease()
 }
 
 // Tick checks for missing heartbeats and updates the placement once.
 func (coordinator *Coordinator) Tick() {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	if !coordinator.ensureLeader(ctx) {
+	term, leads := coordinator.lead(ctx)
+	if !leads {
 		return
 	}
 	coordinator.checkSilence(ctx)
-	catalog := coordinator.node.Catalog()
-	for name, service := range catalog.View().Services() {
+	for name, service := range coordinator.node.Catalog().View().Services() {
 		if service.Keyed {
-			coordinator.updatePlacement(ctx, catalog, name)
+			coordinator.updatePlacement(ctx, term, name)
 		}
 	}
-	coordinator.removeEntries(ctx, catalog)
+	coordinator.removeEntries(ctx)
 }
 
 // checkSilence marks upstreams that stopped sending heartbeats as silent, and
@@ -210,7 +194,7 @@
 	now := coordinator.clock.Now()
 	var gone, silent []spans.Owner
 	for _, instance := range catalog.Instances {
-		silence, deregistered := coordinator.silence(instance.Owner(), now)
+		silence, deregistered := coordinator.holds.silence(instance.Owner(), now)
 		switch {
 		case silence > removeAfter || deregistered && silence > holdExpiry:
 			gone = append(gone, instance.Owner())
@@ -229,19 +213,6 @@
 	}
 }
 
-// silence returns the time since an upstream's last heartbeat, and whether the
-// upstream has deregistered.
-func (coordinator *Coordinator) silence(owner spans.Owner, now time.Time) (silence time.Duration, deregistered bool) {
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	lastHeartbeat := coordinator.termStart
-	if upstream, ok := coordinator.upstreams[owner]; ok {
-		lastHeartbeat = upstream.lastHeartbeat
-	}
-	_, deregistered = coordinator.departing[owner]
-	return now.Sub(lastHeartbeat), deregistered
-}
-
 // propose commits a command. A failure is only logged, since the next tick proposes
 // the command again if it is still due.
 func (coordinator *Coordinator) propose(ctx context.Context, command state.Command) {
--- a/internal/control/steer/trace.go
+++ b/internal/control/steer/trace.go
@@ -20,9 +20,9 @@
 	received, decidedAt time.Time
 	holdsUntil          time.Time
 	holds               []Hold
-	// moving and pending are the owned spans that were not granted, since they are
-	// moving away or a change of their ownership is pending.
-	moving, pending []spans.Span
+	// moving and reserved are the owned spans that were not granted, since they are
+	// moving away or reserved for a change of their ownership.
+	moving, reserved []spans.Span
 }
 
 // logGrant logs the reply to a heartbeat if it grants other key ranges than the
@@ -38,42 +38,60 @@
 		WithField("holdsFor", grant.holdsUntil.Sub(grant.decidedAt).String()).
 		WithField("held", formatHolds(heartbeat.Holds)).WithField("released", formatReleases(heartbeat.Released)).
 		WithField("granted", formatHolds(grant.holds)).WithField("moving", formatSpans(grant.moving)).
-		WithField("pending", formatSpans(grant.pending)).Info(logPrefix + "granted holds changed")
+		WithField("reserved", formatSpans(grant.reserved)).Info(logPrefix + "granted holds changed")
 }
 
 // logReassigned logs the ownership changes that rely on an owner holding nothing,
-// and why it holds nothing.
-func (coordinator *Coordinator) logReassigned(catalog *state.Catalog, service string, placement *placement, changes []spans.Change) {
+// and since when it holds nothing.
+func (coordinator *Coordinator) logReassigned(assessment assessment, service string, changes []spans.Change) {
 	for _, change := range changes {
-		span := catalog.Spans[service].Find(change.From)
-		if change.Owner == (spans.Owner{}) || span.Owner == (spans.Owner{}) {
-			continue
+		if change.Owner != (spans.Owner{}) {
+			coordinator.logDirect(assessment, service, change, "holds of a key range have ended")
 		}
-		coordinator.log.WithField("service", service).WithField("from", change.From).WithField("to", change.To).
-			WithField("owner", span.Owner.ID).WithField("born", span.Owner.Born).WithField("fence", span.Fence).
-			WithField("successor", change.Owner.ID).WithField("base", catalog.Spans[service].Version).
-			WithField("index", catalog.Index).WithField("term", placement.term).WithField("expiredFor", placement.takenAt.Sub(placement.holdsUntil[span.Owner]).String()).
-			Info(logPrefix + "holds of a key range have ended")
 	}
 }
 
-// logReleased logs that an upstream no longer holds a span that is moving, as it
-// released the span or left it out of its heartbeats.
-func (coordinator *Coordinator) logReleased(heartbeat Heartbeat, span spans.Span, released bool) {
-	coordinator.log.WithField("service", heartbeat.Instance.Service).WithField("from", span.From).WithField("to", span.To).
+// logRejected logs the ownership changes that were given up, since their owner has
+// been granted holds or may have been.
+func (coordinator *Coordinator) logRejected(assessment assessment, service string, changes []spans.Change) {
+	for _, change := range changes {
+		coordinator.logDirect(assessment, service, change, "key range stays, its owner was granted holds again")
+	}
+}
+
+func (coordinator *Coordinator) logDirect(assessment assessment, service string, change spans.Change, message string) {
+	span := assessment.catalog.Spans[service].Find(change.From)
+	if span.Owner == (spans.Owner{}) {
+		return
+	}
+	coordinator.log.WithField("service", service).WithField("from", change.From).WithField("to", change.To).
 		WithField("owner", span.Owner.ID).WithField("born", span.Owner.Born).WithField("fence", span.Fence).
-		WithField("successor", span.Next.ID).WithField("sequence", heartbeat.Sequence).WithField("released", released).
-		Info(logPrefix + "key range was let go")
+		WithField("successor", change.Owner.ID).WithField("base", assessment.catalog.Spans[service].Version).
+		WithField("index", assessment.catalog.Index).WithField("term", assessment.term).
+		WithField("expiredFor", assessment.takenAt.Sub(assessment.holdsUntil[span.Owner]).String()).
+		Info(logPrefix + message)
+}
+
+// logReleased logs the spans that an upstream no longer holds, as it released them or
+// left them out of its heartbeats.
+func (coordinator *Coordinator) logReleased(heartbeat Heartbeat, gone []letGo) {
+	for _, letgo := range gone {
+		span := letgo.span
+		coordinator.log.WithField("service", heartbeat.Instance.Service).WithField("from", span.From).WithField("to", span.To).
+			WithField("owner", span.Owner.ID).WithField("born", span.Owner.Born).WithField("fence", span.Fence).
+			WithField("successor", span.Next.ID).WithField("sequence", heartbeat.Sequence).WithField("released", letgo.released).
+			Info(logPrefix + "key range was let go")
+	}
 }
 
-// logCommitted logs the outcome of an ownership change, and which pending change was
-// removed with it.
-func (coordinator *Coordinator) logCommitted(command, removed state.ChangeSpans, result state.Result, term uint64) {
+// logCommitted logs the outcome of an ownership change.
+func (coordinator *Coordinator) logCommitted(reserved *reservation, result state.Result) {
+	command := reserved.command
 	visible := coordinator.node.Catalog().Index
-	if result.Outcome != state.OutcomeDone || removed.Base != command.Base || visible < result.Index {
+	if result.Outcome != state.OutcomeDone || visible < result.Index {
 		coordinator.log.WithField("service", command.Service).WithField("outcome", result.Outcome).
-			WithField("base", command.Base).WithField("removedBase", removed.Base).WithField("term", term).
-			WithField("version", result.Index).WithField("index", visible).Info(logPrefix + "ownership change resolved")
+			WithField("base", command.Base).WithField("term", reserved.term).WithField("version", result.Index).
+			WithField("index", visible).Info(logPrefix + "ownership change resolved")
 	}
 	if result.Outcome != state.OutcomeDone {
 		return
