Bind decisions on key ranges to the leader's term

A tick judges in one term that holds have ended and proposes the change in a later one. An interim leader's grants change no table, so the base version still fits and the change is committed. A heartbeat likewise checked the lease after its grant, but not that it was the lease of the term in which the grant was decided.

Evidence: TestJudgementOfEarlierTerm failed on the old code, from the switch between the read of the term and the mutex on: up-1 takes 10924-21845/10, but up-0 holds 0-21845/5 for 3.572s.

Change: changes of ownership, of silence and removals are proposed by ProposeInTerm, which the event loop refuses in any other term; a reply to a heartbeat is sent only if the lease is held in the term of the grant, after the grant. An entry that is appended in the term is either applied before a later leader grants anything, or never.

TestOvertakenHeartbeat still fails.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return HeartbeatReply{}, err
 	}
-	if !coordinator.node.HoldsLease() {
+	if !coordinator.leadsIn(term) {
 		return HeartbeatReply{}, ErrNotLeader
 	}
 	heartbeatreply.Near = coordinator.nearbyControlHost(heartbeat.Instance.DataCentre)
@@ -164,7 +164,7 @@
 // Repeating a change that was committed is rejected as stale, since the table version
 // has changed.
 func (coordinator *Coordinator) commit(ctx context.Context, reserved *reservation) {
-	result, err := coordinator.node.Propose(ctx, reserved.command)
+	result, err := coordinator.node.ProposeInTerm(ctx, reserved.term, reserved.command)
 	coordinator.holds.settle(reserved, err == nil && result.Outcome == state.OutcomeInvalid)
 	if err != nil {
 		coordinator.log.WithError(err).WithField("service", reserved.command.Service).WithField("term", reserved.term).
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -32,7 +32,8 @@
 // version that the change is based on.
 type reservation struct {
 	command state.ChangeSpans
-	// term is the leadership term in which the change was decided.
+	// term is the leadership term in which the change was decided. It is valid only
+	// if it is also appended to the log in that term.
 	term uint64
 	// proposing is set while the outcome of a proposal is awaited.
 	proposing bool
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -146,7 +146,7 @@
 }
 
 // removeEntries removes entry hosts that have stopped polling.
-func (coordinator *Coordinator) removeEntries(ctx context.Context) {
+func (coordinator *Coordinator) removeEntries(ctx context.Context, term uint64) {
 	catalog := coordinator.node.Catalog()
 	_, termStart := coordinator.holds.start()
 	coordinator.mutex.Lock()
@@ -166,7 +166,7 @@
 	coordinator.mutex.Unlock()
 	if len(gone) > 0 {
 		coordinator.log.WithField("entries", gone).Info(logPrefix + "removing entry hosts that stopped polling")
-		coordinator.propose(ctx, state.RemoveEntries{Names: gone})
+		coordinator.propose(ctx, term, state.RemoveEntries{Names: gone})
 	}
 }
 
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -59,6 +59,8 @@
 // Node is the local member of the control group.
 type Node interface {
 	Propose(ctx context.Context, command state.Command) (state.Result, error)
+	// ProposeInTerm proposes a command only if this member leads in the term.
+	ProposeInTerm(ctx context.Context, term uint64, command state.Command) (state.Result, error)
 	ReadLinearizable(ctx context.Context) (*state.Catalog, error)
 	Catalog() *state.Catalog
 	HoldsLease() bool
@@ -150,7 +152,8 @@
 }
 
 // lead returns the term in which this host may act as leader, and resets the state
-// if a new term has begun.
+// if a new term has begun. What is decided in the term may be acted on only if
+// leadsIn is true after the decision.
 func (coordinator *Coordinator) lead(ctx context.Context) (term uint64, ok bool) {
 	if !coordinator.node.HoldsLease() {
 		return 0, false
@@ -167,7 +170,14 @@
 		coordinator.log.WithField("term", term).Info(logPrefix + "this host became leader")
 	}
 	current, _ := coordinator.holds.start()
-	return term, current == term && coordinator.node.HoldsLease()
+	return term, current == term && coordinator.leadsIn(term)
+}
+
+// leadsIn reports whether this host holds the leader's lease in the term. The order
+// of the two reads matters: terms only grow, so the lease was not one of an earlier
+// or later term.
+func (coordinator *Coordinator) leadsIn(term uint64) bool {
+	return coordinator.node.HoldsLease() && coordinator.node.Status().Term == term
 }
 
 // Tick checks for missing heartbeats and updates the placement once.
@@ -178,18 +188,18 @@
 	if !leads {
 		return
 	}
-	coordinator.checkSilence(ctx)
+	coordinator.checkSilence(ctx, term)
 	for name, service := range coordinator.node.Catalog().View().Services() {
 		if service.Keyed {
 			coordinator.updatePlacement(ctx, term, name)
 		}
 	}
-	coordinator.removeEntries(ctx)
+	coordinator.removeEntries(ctx, term)
 }
 
 // checkSilence marks upstreams that stopped sending heartbeats as silent, and
 // removes those that are gone.
-func (coordinator *Coordinator) checkSilence(ctx context.Context) {
+func (coordinator *Coordinator) checkSilence(ctx context.Context, term uint64) {
 	catalog := coordinator.node.Catalog()
 	now := coordinator.clock.Now()
 	var gone, silent []spans.Owner
@@ -205,18 +215,18 @@
 		}
 	}
 	if len(silent) > 0 {
-		coordinator.propose(ctx, state.MarkSilent{Owners: silent})
+		coordinator.propose(ctx, term, state.MarkSilent{Owners: silent})
 	}
 	if len(gone) > 0 {
 		coordinator.log.WithField("upstreams", len(gone)).Info(logPrefix + "removing upstreams that are gone")
-		coordinator.propose(ctx, state.RemoveInstances{Owners: gone})
+		coordinator.propose(ctx, term, state.RemoveInstances{Owners: gone})
 	}
 }
 
-// propose commits a command. A failure is only logged, since the next tick proposes
-// the command again if it is still due.
-func (coordinator *Coordinator) propose(ctx context.Context, command state.Command) {
-	if _, err := coordinator.node.Propose(ctx, command); err != nil {
+// propose commits a command that was decided in the term. A failure is only logged,
+// since the next tick proposes the command again if it is still due.
+func (coordinator *Coordinator) propose(ctx context.Context, term uint64, command state.Command) {
+	if _, err := coordinator.node.ProposeInTerm(ctx, term, command); err != nil {
 		coordinator.log.WithError(err).Warnf(logPrefix+"could not commit %T", command)
 	}
 }
