Process an upstream's heartbeats in order

The sequence of a heartbeat was checked once, before the commit that registers the upstream. A heartbeat that waits for that commit can end after the next one of the same upstream, which gave up on it after a second. It then set the end of the holds by its own, earlier receipt, and its releases and reported holds counted although they were out of date.

Change: the sequence is checked in the step that records it, and again in the steps that rely on the heartbeat (releases, grant); a heartbeat that has been overtaken renews nothing. The end of holds never moves back. A process that a later one has replaced is granted nothing, since its holds count as ended.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -65,10 +66,12 @@
 		return HeartbeatReply{}, err
 	}
 	heartbeatreply, err := coordinator.renew(ctx, term, heartbeat, received)
-	if err != nil {
+	switch {
+	case errors.Is(err, errSuperseded):
+		return HeartbeatReply{}, nil
+	case err != nil:
 		return HeartbeatReply{}, err
-	}
-	if !coordinator.leadsIn(term) {
+	case !coordinator.leadsIn(term):
 		return HeartbeatReply{}, ErrNotLeader
 	}
 	heartbeatreply.Near = coordinator.nearbyControlHost(heartbeat.Instance.DataCentre)
@@ -116,6 +119,10 @@
 // ErrNotLeader is returned by calls that only the control leader can answer.
 var ErrNotLeader = Error.New("this control host is not the leader")
 
+// errSuperseded means that a heartbeat needs no holds in its answer, since the upstream
+// has sent a later one or has been replaced by a new process.
+var errSuperseded = Error.New("a later heartbeat of the upstream has been received")
+
 // registerInstance commits new or changed data of an upstream. An upstream that is
 // draining or has deregistered stays draining until its process restarts.
 func (coordinator *Coordinator) registerInstance(ctx context.Context, instance state.Instance) error {
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -12,6 +12,7 @@
 
 // upstreamState is what the leader knows of one process of an upstream.
 type upstreamState struct {
+	// sequence is that of the latest recorded heartbeat.
 	sequence      uint64
 	lastHeartbeat time.Time
 	// holdsUntil is when all holds of this process have certainly expired.
@@ -120,7 +121,8 @@
 	return ok && present.Born > owner.Born
 }
 
-// record stores the time and sequence of a heartbeat.
+// record stores the time, sequence and holds of a heartbeat. It fails with
+// errSuperseded if a later heartbeat of the upstream has been recorded.
 func (holdtable *holdTable) record(term uint64, heartbeat Heartbeat, received time.Time) error {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
@@ -133,8 +135,10 @@
 		// An earlier leader may have granted holds until just before this term.
 		known = &upstreamState{holdsUntil: holdtable.holdsUntil(owner)}
 		holdtable.upstreams[owner] = known
+	} else if heartbeat.Sequence <= known.sequence {
+		return errSuperseded
 	}
-	known.sequence = max(known.sequence, heartbeat.Sequence)
+	known.sequence = heartbeat.Sequence
 	if since := received.Sub(known.lastHeartbeat); since > minHeartbeatInterval && since < silentAfter {
 		known.interval = since
 	}
@@ -153,8 +157,8 @@
 	catalog := holdtable.node.Catalog()
 	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
 	known, ok := holdtable.upstreams[owner]
-	if !ok {
-		return HeartbeatReply{}, grant{}, ErrNotLeader
+	if !ok || known.sequence != heartbeat.Sequence || isReplaced(catalog, owner) {
+		return HeartbeatReply{}, grant{}, errSuperseded
 	}
 	reserved := holdtable.reservations[service]
 	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
@@ -169,8 +173,8 @@
 			grant.holds = append(grant.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
 		}
 	}
-	if len(grant.holds) > 0 {
-		known.holdsUntil = received.Add(holdExpiry)
+	if until := received.Add(holdExpiry); len(grant.holds) > 0 && until.After(known.holdsUntil) {
+		known.holdsUntil = until
 	}
 	heartbeatreply.Holds, grant.holdsUntil = grant.holds, known.holdsUntil
 	return heartbeatreply, grant, nil
@@ -284,7 +288,7 @@
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
-	if holdtable.term != term {
+	if known, ok := holdtable.upstreams[owner]; holdtable.term != term || !ok || known.sequence != heartbeat.Sequence {
 		return nil, nil
 	}
 	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
