Count a release only for the assignment that it ends

A release names a range but no assignment, and repeats until a heartbeat is acknowledged; that a heartbeat leaves a moving range out counts as well, 1.2 s after the move began. Both are right for what this leader granted, since heartbeats of one upstream are handled in order. A heartbeat that arrives seconds late may reach the next leader first, though: it was sent before the earlier leader granted the keys. The time since which a range is moving was kept by owner and first key, so it outlived the assignment too.

Change: a release counts if its sender has reported this assignment, by its fence, as held earlier in the term. That keys are left out counts once all grants of the assignment that can be in force were made in this term: it was assigned in the term, or the holds that earlier leaders granted have expired. Moves are known by the fence.

Ruled out: to wait out the holds of earlier leaders for each release. Upstreams that drain just after a change of leader would keep their keys for 3.7 s.

After: the test passes, and with it the others of the package. Left: a heartbeat that reports the keys and one that releases them, both late, both from before the same earlier grant; that takes a reservation that failed as well.

--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -17,6 +17,9 @@
 	lastHeartbeat time.Time
 	// holdsUntil is when all holds of this process have certainly expired.
 	holdsUntil time.Time
+	// reported are the fences of its spans that the process has reported as held in
+	// this term.
+	reported map[uint64]bool
 	// interval is the time between two regular heartbeats.
 	interval time.Duration
 }
@@ -25,7 +28,7 @@
 type moveID struct {
 	service string
 	from    uint16
-	owner   spans.Owner
+	fence   uint64
 }
 
 // reservation is an ownership change that may be committed. It is open, and keeps
@@ -66,6 +69,9 @@
 	mutex     sync.Mutex
 	term      uint64
 	termStart time.Time
+	// termIndex is the log index that was applied when the term began. Spans with a
+	// later fence were assigned in this term.
+	termIndex uint64
 	upstreams map[spans.Owner]*upstreamState
 	// departing is when each upstream that has deregistered did so.
 	departing map[spans.Owner]time.Time
@@ -82,6 +88,7 @@
 	defer holdtable.mutex.Unlock()
 	holdtable.term = term
 	holdtable.termStart = holdtable.clock.Now()
+	holdtable.termIndex = holdtable.node.Catalog().Index
 	holdtable.upstreams = map[spans.Owner]*upstreamState{}
 	holdtable.departing = map[spans.Owner]time.Time{}
 	holdtable.reservations = map[string]*reservation{}
@@ -133,7 +140,7 @@
 	known, ok := holdtable.upstreams[owner]
 	if !ok {
 		// An earlier leader may have granted holds until just before this term.
-		known = &upstreamState{holdsUntil: holdtable.holdsUntil(owner)}
+		known = &upstreamState{holdsUntil: holdtable.holdsUntil(owner), reported: map[uint64]bool{}}
 		holdtable.upstreams[owner] = known
 	} else if heartbeat.Sequence <= known.sequence {
 		return errSuperseded
@@ -143,9 +150,24 @@
 		known.interval = since
 	}
 	known.lastHeartbeat = received
+	for _, span := range holdtable.node.Catalog().Spans[heartbeat.Instance.Service].OwnedBy(owner) {
+		if isReported(heartbeat.Holds, span) {
+			known.reported[span.Fence] = true
+		}
+	}
 	return nil
 }
 
+// isReported reports whether one of the holds is of the span's assignment.
+func isReported(holds []Hold, span spans.Span) bool {
+	for _, hold := range holds {
+		if hold.Fence == span.Fence && hold.From <= span.To && hold.To >= span.From {
+			return true
+		}
+	}
+	return false
+}
+
 // grant decides which holds the upstream gets in the reply to its heartbeat, and
 // records when they expire.
 func (holdtable *holdTable) grant(term uint64, heartbeat Heartbeat, received time.Time) (HeartbeatReply, grant, error) {
@@ -163,7 +185,9 @@
 	reserved := holdtable.reservations[service]
 	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
 	grant := grant{term: term, index: catalog.Index, decidedAt: holdtable.clock.Now(), received: received}
+	owned := map[uint64]bool{}
 	for _, span := range catalog.Spans[service].OwnedBy(owner) {
+		owned[span.Fence] = true
 		switch {
 		case span.Moving():
 			grant.moving = append(grant.moving, span)
@@ -173,6 +197,11 @@
 			grant.holds = append(grant.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
 		}
 	}
+	for fence := range known.reported {
+		if !owned[fence] {
+			delete(known.reported, fence)
+		}
+	}
 	if until := received.Add(holdExpiry); len(grant.holds) > 0 && until.After(known.holdsUntil) {
 		known.holdsUntil = until
 	}
@@ -288,7 +317,8 @@
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
-	if known, ok := holdtable.upstreams[owner]; holdtable.term != term || !ok || known.sequence != heartbeat.Sequence {
+	known, ok := holdtable.upstreams[owner]
+	if holdtable.term != term || !ok || known.sequence != heartbeat.Sequence {
 		return nil, nil
 	}
 	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
@@ -299,8 +329,11 @@
 			continue
 		}
 		handover, released := releaseToken(heartbeat.Released, span)
+		// A release may repeat that of an earlier assignment.
+		released = released && known.reported[span.Fence]
 		// Without a release, an answer in flight may still grant the keys.
-		if !released && !holdtable.movingLongerThan(service, span, answerExpiry, now) {
+		waited := holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
+		if !released && !waited {
 			continue
 		}
 		gone = append(gone, letGo{span: span, released: released})
@@ -319,10 +352,18 @@
 	released bool
 }
 
+// grantedInTerm reports whether all grants of a span that can still be in force were
+// made in this term. Only then is a heartbeat that reports nothing of the span
+// certainly later than them: heartbeats may arrive seconds late, and what earlier
+// leaders answered is not known.
+func (holdtable *holdTable) grantedInTerm(span spans.Span, now time.Time) bool {
+	return span.Fence > holdtable.termIndex || now.After(holdtable.termStart.Add(holdExpiry))
+}
+
 // movingLongerThan reports whether a span has been moving for longer than the
 // duration.
 func (holdtable *holdTable) movingLongerThan(service string, span spans.Span, duration time.Duration, now time.Time) bool {
-	move := moveID{service: service, from: span.From, owner: span.Owner}
+	move := moveID{service: service, from: span.From, fence: span.Fence}
 	since, ok := holdtable.movingSince[move]
 	if !ok {
 		holdtable.movingSince[move] = now
@@ -385,7 +426,7 @@
 		if !span.Moving() {
 			continue
 		}
-		move := moveID{service: service, from: span.From, owner: span.Owner}
+		move := moveID{service: service, from: span.From, fence: span.Fence}
 		present[move] = true
 		if _, ok := holdtable.movingSince[move]; !ok {
 			holdtable.movingSince[move] = now
