Lend no tokens and shares after the lease has ended

Poll and Lend checked the lease at their start only. A host that is paused or waits for the registration of an entry host in between answers with tokens and shares of its term, while the next leader has begun with buckets of its own. The index in the reply, which says up to where the configuration is confirmed, was as old.

Evidence: TestDeposedLeaderLendsNoTokens, new, failed on the old code: not true: reply.NotLeader, with a lease that ends after the first check.

Change: both check that the lease is held in their term after they have decided, as heartbeats do; otherwise the host is sent to the leader. The part of Poll that needs the mutex is recordPoll.

After: the test passes.

--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -53,7 +53,8 @@
 
 // Poll processes an entry host's report and grants its shares of the rates.
 func (coordinator *Coordinator) Poll(ctx context.Context, args PollArgs) (PollReply, error) {
-	if _, leads := coordinator.lead(ctx); !leads {
+	term, leads := coordinator.lead(ctx)
+	if !leads {
 		return PollReply{NotLeader: true, Leader: coordinator.leaderAddress()}, nil
 	}
 	catalog := coordinator.node.Catalog()
@@ -72,6 +73,25 @@
 	for name, workspace := range catalog.View().Workspaces() {
 		rates[name] = share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
 	}
+	reply := PollReply{Index: catalog.Index, Grant: coordinator.recordPoll(args, hosts, rates)}
+	if !coordinator.leadsIn(term) {
+		return PollReply{NotLeader: true, Leader: coordinator.leaderAddress()}, nil
+	}
+	members := coordinator.node.Status().Members
+	if args.Members >= len(members) {
+		return reply, nil
+	}
+	for _, member := range members {
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			reply.Members = append(reply.Members, address)
+		}
+	}
+	return reply, nil
+}
+
+// recordPoll adds an entry host's report to the loads and the health of upstreams, and
+// grants the host its shares of the rates.
+func (coordinator *Coordinator) recordPoll(args PollArgs, hosts []string, rates map[string]share.Rate) share.Grant {
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
 	now := coordinator.clock.Now()
@@ -90,17 +110,7 @@
 				Info(logPrefix + "upstream is failing or unreachable, placing no keys on it")
 		}
 	}
-	reply := PollReply{Index: catalog.Index, Grant: coordinator.allocator.Grant(now, args.Report, hosts, rates)}
-	members := coordinator.node.Status().Members
-	if args.Members >= len(members) {
-		return reply, nil
-	}
-	for _, member := range members {
-		if address, err := netip.ParseAddrPort(member.Address); err == nil {
-			reply.Members = append(reply.Members, address)
-		}
-	}
-	return reply, nil
+	return coordinator.allocator.Grant(now, args.Report, hosts, rates)
 }
 
 // LoanArgs requests tokens of a workspace's rate.
@@ -125,14 +135,19 @@
 
 // Lend lends tokens of a workspace's rate to an entry host.
 func (coordinator *Coordinator) Lend(ctx context.Context, args LoanArgs) LoanReply {
-	if _, leads := coordinator.lead(ctx); !leads {
+	term, leads := coordinator.lead(ctx)
+	if !leads {
 		return LoanReply{NotLeader: true, Leader: coordinator.leaderAddress()}
 	}
 	workspace := coordinator.node.Catalog().View().Workspaces()[args.Workspace]
 	rate := share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
 	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	return LoanReply{Loan: coordinator.allocator.Lend(coordinator.clock.Now(), args.Host, args.Workspace, args.Wanted, rate)}
+	loan := coordinator.allocator.Lend(coordinator.clock.Now(), args.Host, args.Workspace, args.Wanted, rate)
+	coordinator.mutex.Unlock()
+	if !coordinator.leadsIn(term) {
+		return LoanReply{NotLeader: true, Leader: coordinator.leaderAddress()}
+	}
+	return LoanReply{Loan: loan}
 }
 
 func (coordinator *Coordinator) leaderAddress() string {
