Grant no shares to an entry host that is being removed

Cause. removeEntries judges under the mutex that an entry host has stopped polling and commits its removal later. A poll in between is granted shares; the removal is committed all the same, so the host has shares and is not in the catalog until its next poll. A leader that takes over just then believes it knows all shares without that host, and grants them to others.

Evidence: TestPollDuringRemoval, new, failed on the old code: not true: present || !granted.

Change: a host whose removal may be committed is granted nothing until the catalog no longer names it; then its next poll registers it again. The grant looks at the catalog in the same step.

After: the test passes.

--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -73,7 +73,11 @@
 	for name, workspace := range catalog.View().Workspaces() {
 		rates[name] = share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
 	}
-	reply := PollReply{Index: catalog.Index, Grant: coordinator.recordPoll(args, hosts, rates)}
+	grant, ok := coordinator.recordPoll(args, hosts, rates)
+	if !ok {
+		return PollReply{}, Error.New("entry host %q is being removed, it can poll again shortly", args.Entry.Name)
+	}
+	reply := PollReply{Index: catalog.Index, Grant: grant}
 	if !coordinator.leadsIn(term) {
 		return PollReply{NotLeader: true, Leader: coordinator.leaderAddress()}, nil
 	}
@@ -90,10 +94,14 @@
 }
 
 // recordPoll adds an entry host's report to the loads and the health of upstreams, and
-// grants the host its shares of the rates.
-func (coordinator *Coordinator) recordPoll(args PollArgs, hosts []string, rates map[string]share.Rate) share.Grant {
+// grants the host its shares of the rates. A host that is being removed is granted
+// none: later leaders learn from the catalog which hosts may have shares.
+func (coordinator *Coordinator) recordPoll(args PollArgs, hosts []string, rates map[string]share.Rate) (share.Grant, bool) {
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
+	if _, present := coordinator.node.Catalog().Entries[args.Entry.Name]; !present || coordinator.removing[args.Entry.Name] {
+		return share.Grant{}, false
+	}
 	now := coordinator.clock.Now()
 	coordinator.entries[args.Entry.Name] = now
 	for service, keys := range args.Keys {
@@ -110,7 +118,7 @@
 				Info(logPrefix + "upstream is failing or unreachable, placing no keys on it")
 		}
 	}
-	return coordinator.allocator.Grant(now, args.Report, hosts, rates)
+	return coordinator.allocator.Grant(now, args.Report, hosts, rates), true
 }
 
 // LoanArgs requests tokens of a workspace's rate.
@@ -162,10 +170,14 @@
 
 // removeEntries removes entry hosts that have stopped polling.
 func (coordinator *Coordinator) removeEntries(ctx context.Context, term uint64) {
-	catalog := coordinator.node.Catalog()
 	_, termStart := coordinator.holds.start()
 	coordinator.mutex.Lock()
-	now := coordinator.clock.Now()
+	catalog, now := coordinator.node.Catalog(), coordinator.clock.Now()
+	for name := range coordinator.removing {
+		if _, present := catalog.Entries[name]; !present {
+			delete(coordinator.removing, name)
+		}
+	}
 	var gone []string
 	for name := range catalog.Entries {
 		lastPoll, ok := coordinator.entries[name]
@@ -174,6 +186,7 @@
 		}
 		if now.Sub(lastPoll) > removeEntryAfter {
 			gone = append(gone, name)
+			coordinator.removing[name] = true
 			delete(coordinator.entries, name)
 			coordinator.allocator.RemoveHost(name)
 		}
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -87,8 +87,10 @@
 	firstSeen map[string]time.Time
 	loads     map[string]*keyLoads
 	health    healthTable
-	// entries is when each entry host last polled, by name.
+	// entries is when each entry host last polled, by name, and removing are the hosts
+	// whose removal may be committed.
 	entries    map[string]time.Time
+	removing   map[string]bool
 	allocator  share.Allocator
 	balancedAt time.Time
 }
@@ -134,6 +136,7 @@
 	coordinator.loads = map[string]*keyLoads{}
 	coordinator.health = healthTable{}
 	coordinator.entries = map[string]time.Time{}
+	coordinator.removing = map[string]bool{}
 	coordinator.allocator.Reset(coordinator.clock.Now(), term)
 	coordinator.mutex.Unlock()
 	coordinator.holds.reset(term)
