--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -20,13 +20,12 @@
 func (node *Node) applyOutput(output raft.Output) {
 	var completed []completedProposal
 	for _, entry := range output.Committed {
-		result := node.applyEntry(entry)
+		answer := node.applyEntry(entry)
 		proposal, ok := node.proposals[entry.Index]
 		if !ok {
 			continue
 		}
 		delete(node.proposals, entry.Index)
-		answer := proposeAnswer{result: result}
 		if proposal.term != entry.Term {
 			answer = proposeAnswer{err: Error.New("entry %d was overwritten by another leader", entry.Index)}
 		}
@@ -60,13 +59,18 @@
 	}
 }
 
-// applyEntry applies an entry and returns its result.
-func (node *Node) applyEntry(entry raft.Entry) state.Result {
+// applyEntry applies an entry and returns the answer to its proposal. An entry that
+// is committed in the same batch as the installation of a later snapshot is skipped,
+// since the state already includes it.
+func (node *Node) applyEntry(entry raft.Entry) proposeAnswer {
+	if entry.Index <= node.machine.Catalog.Index {
+		return proposeAnswer{err: Error.New("entry %d was committed, but a snapshot hides its result", entry.Index)}
+	}
 	if entry.Kind == raft.EntryCommand {
-		return node.applyCommand(entry)
+		return proposeAnswer{result: node.applyCommand(entry)}
 	}
 	node.machine.Catalog = node.machine.Catalog.AdvanceTo(entry.Index)
-	return state.Result{Index: entry.Index, Outcome: state.OutcomeDone}
+	return proposeAnswer{result: state.Result{Index: entry.Index, Outcome: state.OutcomeDone}}
 }
 
 // applyCommand applies a command. A command that this version cannot decode is
