--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 
 	"github.com/zeebo/errs"
@@ -50,7 +51,8 @@
 	TornBytes int
 }
 
-// Disk is an open data folder. It is not safe for concurrent use.
+// Disk is an open data folder. Except for WriteSnapshot it is not safe for concurrent
+// use.
 type Disk struct {
 	folder string
 	log    *os.File
@@ -60,6 +62,10 @@
 	failed error
 	// write replaces the log file's Write method in tests.
 	write func(data []byte) (int, error)
+
+	snapshotMutex sync.Mutex
+	// snapshotIndex is the index of the snapshot on disk.
+	snapshotIndex uint64
 }
 
 // ErrDiskFull means that the disk is full. The batch was not saved, and saving it may be
@@ -94,6 +100,7 @@
 	if err := disk.readSnapshot(&restored.Snapshot); err != nil {
 		return Restored{}, err
 	}
+	disk.snapshotIndex = restored.Snapshot.Index
 	data, err := os.ReadFile(disk.path(logName))
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return Restored{}, Error.New("read log: %w", err)
@@ -263,14 +270,23 @@
 	return err
 }
 
-// WriteSnapshot makes a snapshot durable. Unlike the other methods it may run
-// concurrently with Save.
+// WriteSnapshot makes a snapshot durable, unless the disk already has a later one.
+// Unlike the other methods it may run concurrently with itself and with Save.
 func (disk *Disk) WriteSnapshot(snapshot raft.Snapshot) error {
 	payload, err := codec.Marshal(snapshot)
 	if err != nil {
 		return Error.New("encode snapshot: %w", err)
 	}
-	return disk.replaceFile(snapshotName, codec.Frame(payload))
+	disk.snapshotMutex.Lock()
+	defer disk.snapshotMutex.Unlock()
+	if snapshot.Index < disk.snapshotIndex {
+		return nil
+	}
+	if err := disk.replaceFile(snapshotName, codec.Frame(payload)); err != nil {
+		return err
+	}
+	disk.snapshotIndex = snapshot.Index
+	return nil
 }
 
 // CompactLog replaces the log with one that holds only the given hard state and entries,
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -170,3 +170,28 @@
 	is.Equal(restored.TornBytes, 0)
 	is.NoErr(again.Close())
 }
+
+// TestOlderSnapshotKeepsNewerOne guards against a snapshot of the member's own, written
+// in the background, that replaces a newer one installed from the leader meanwhile: the
+// entries between them were acknowledged and are in no log any more.
+func TestOlderSnapshotKeepsNewerOne(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	disk, _, err := Open(folder)
+	is.NoErr(err)
+	newer := raft.Snapshot{Index: 100, Term: 2, Data: []byte("newer")}
+	is.NoErr(disk.WriteSnapshot(newer))
+	is.NoErr(disk.CompactLog(raft.HardState{Term: 2}, nil))
+	is.NoErr(disk.Save(Batch{Entries: []raft.Entry{{Index: 101, Term: 2}}}))
+	is.NoErr(disk.WriteSnapshot(raft.Snapshot{Index: 60, Term: 1, Data: []byte("older")}))
+	is.NoErr(disk.Close())
+	reopened, restored, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(restored.Snapshot, newer)
+	is.Equal(len(restored.Entries), 1)
+	is.NoErr(reopened.WriteSnapshot(raft.Snapshot{Index: 60, Term: 1, Data: []byte("older")}))
+	is.NoErr(reopened.Close())
+	_, restored, err = Open(folder)
+	is.NoErr(err)
+	is.Equal(restored.Snapshot, newer) // also after a restart
+}
