Do not treat a session as expired before the table knows it

Not seen by callers; found by reading, shown by the test.

Cause: plan.Controller updates the table of leases and then decides on a catalog that it reads afterwards. A session that was committed in between is in the catalog and not in the table, and Table.Expired then counts from the start of the leader's term: after 440 ms of leading, the new session counts as expired at once and is closed. Its host is refused, and opens another one; until then it takes no shards.

Evidence, before, with the test: lease_test.go:187: not true: !pair.table.Expired(epoch) --- FAIL: TestNewSessionIsNotExpired After: it passes, and so does TestLeaseEndsBeforeSessionExpires with 5000 checks.

Change: Expired first adds the sessions of the present catalog, which is at least as new as the one that the caller decides on. observe takes the status, so that one judgement reads it once. Before the table has been updated in a term nothing changes: no lease was granted in it, so the start of the term counts.

Ruled out: to observe also then. Sessions would be first seen at the judgement, and TestNewLeaderWaitsOutLeases rightly asks for expiry one lease after the term's start.

--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -174,6 +174,23 @@
 	is.True(table.Expired(epoch))
 }
 
+// TestNewSessionIsNotExpired guards against a session that is closed as soon as it was
+// opened: it was committed after the leader last updated the table and before it
+// decided, so the table had no record of it, and the leader has led for long.
+func TestNewSessionIsNotExpired(t *testing.T) {
+	is := is.New(t)
+	pair := newPair()
+	pair.clock.Advance(10 * time.Second)
+	pair.table.Update()
+	pair.leader.commit(state.OpenSession{Host: state.Host{Name: "other", Boot: 8}})
+	epoch := pair.leader.machine.Catalog.Sessions["other"].Epoch
+	is.True(!pair.table.Expired(epoch))
+	pair.clock.Advance(Duration + ClockMargin)
+	is.True(!pair.table.Expired(epoch))
+	pair.clock.Advance(time.Millisecond)
+	is.True(pair.table.Expired(epoch))
+}
+
 // TestFailoverTimeBudget adds up the timeouts until the shards of a failed host can
 // move, without and with the loss of the control leader at the same time. What is
 // left of one second is for commits and messages.
--- a/internal/control/lease/table.go
+++ b/internal/control/lease/table.go
@@ -84,7 +84,7 @@
 func (table *Table) renew(heartbeat Heartbeat) (Ack, bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.observe()
+	table.observe(table.leader.Status())
 	now := table.clock.Now()
 	catalog := table.leader.Catalog()
 	ack := Ack{Epoch: heartbeat.Epoch, Sequence: heartbeat.Sequence, Index: catalog.Index}
@@ -113,12 +113,11 @@
 func (table *Table) Update() {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.observe()
+	table.observe(table.leader.Status())
 }
 
-func (table *Table) observe() {
+func (table *Table) observe(status group.Status) {
 	now := table.clock.Now()
-	status := table.leader.Status()
 	if status.Term != table.term {
 		table.term = status.Term
 		table.leases = map[uint64]lease{}
@@ -167,6 +166,9 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	status := table.leader.Status()
+	if status.Term == table.term {
+		table.observe(status) // the session may be newer than the table
+	}
 	since := status.LeaderSince
 	if lease, ok := table.leases[epoch]; ok && status.Term == table.term && lease.renewedAt.After(since) {
 		since = lease.renewedAt
