Do not renew the lease of a session that was found expired

Not seen by callers; found by reading, shown by two tests.

Cause: the planner asks Table.Expired, and proposes CloseSession after it. The session was closed all the same and its shards given to other hosts, while the host, whose catalog did not show that yet, held a valid lease for them: two hosts act for one shard until the host has fetched the change, or its lease has ended.

Change: once Expired has said so, the table answers heartbeats of the session as it does after its end (no session), for the rest of the term. The host then opens another session, as it does anyway when it has lost one. The judgement can not be taken back, so a commit that takes long, or is tried again, still finds it true.

The property test asked only that the lease has ended at the moment of the judgement. It now also runs the planner, and asks that the lease is not renewed later in that term; the earlier condition is unchanged.

What remains: the planner proposes without the term that it judged in. A close that waits while the lead is lost and won again is committed in the new term; ProposeInTerm in internal/control/plan would refuse it.

--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -205,14 +205,16 @@
 // TestLeaseEndsBeforeSessionExpires delays, loses, repeats and reorders heartbeats
 // and answers, pauses the host, and changes the leader. Whenever a leader treats a
 // session as expired, the host's own lease must have ended; otherwise two hosts
-// could act for the same shard.
+// could act for the same shard. Once its planner has run in the term, the lease must
+// not be renewed any more either, since the planner closes the session later.
 func TestLeaseEndsBeforeSessionExpires(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		pair := newPair()
 		epoch := pair.holder.Epoch()
 		var heartbeats, answers [][]byte
+		planned, closing := false, false
 		for range rapid.IntRange(10, 200).Draw(t, "steps") {
-			switch action := rapid.IntRange(0, 9).Draw(t, "action"); {
+			switch action := rapid.IntRange(0, 10).Draw(t, "action"); {
 			case action < 3:
 				pair.clock.Advance(time.Duration(rapid.IntRange(1, 150).Draw(t, "milliseconds")) * time.Millisecond)
 			case action < 5:
@@ -227,14 +229,41 @@
 			case action == 9:
 				pair.leader.term++
 				pair.leader.since = pair.clock.Now()
+				planned, closing = false, false
+			case action == 10:
+				pair.table.Update()
+				planned = true
 			}
-			if pair.table.Expired(epoch) && pair.holder.Valid() {
+			expired := pair.table.Expired(epoch)
+			closing = closing || planned && expired
+			if (expired || closing) && pair.holder.Valid() {
 				t.Fatalf("the leader considers the session expired, but the host's lease is valid for another %s", pair.holder.Remaining())
 			}
 		}
 	})
 }
 
+// TestExpiredSessionIsNotRenewed guards against a late heartbeat that renews the lease
+// of a session which the leader has just found expired and is about to close: its
+// shards would move while the host may still act for them.
+func TestExpiredSessionIsNotRenewed(t *testing.T) {
+	is := is.New(t)
+	pair := newPair()
+	pair.exchange()
+	epoch := pair.holder.Epoch()
+	pair.clock.Advance(Duration + ClockMargin + time.Millisecond)
+	is.True(pair.table.Expired(epoch)) // the leader proposes to close the session
+	pair.exchange()                    // the host comes back before that is committed
+	is.True(!pair.holder.Valid())
+	is.True(pair.holder.SessionLost())
+	is.True(pair.table.Expired(epoch))
+	pair.leader.commit(state.CloseSession{Host: "h", Epoch: epoch})
+	pair.leader.commit(state.OpenSession{Host: state.Host{Name: "h", Boot: 7}})
+	pair.catalog = pair.leader.machine.Catalog
+	pair.exchange()
+	is.True(pair.holder.Valid()) // under its new session
+}
+
 // TestLeaderFromAnswers checks that the control host that answers counts as the
 // leader until two heartbeats in a row have no answer.
 func TestLeaderFromAnswers(t *testing.T) {
--- a/internal/control/lease/table.go
+++ b/internal/control/lease/table.go
@@ -29,6 +29,9 @@
 	// renewedAt is when the lease was last renewed, or when the session was first
 	// seen.
 	renewedAt time.Time
+	// expired is set once the session was found expired. Its lease is not renewed any
+	// more in this term.
+	expired bool
 }
 
 // sample is the catalog's index at a point in time.
@@ -89,7 +92,7 @@
 	catalog := table.leader.Catalog()
 	ack := Ack{Epoch: heartbeat.Epoch, Sequence: heartbeat.Sequence, Index: catalog.Index}
 	lease, known := table.leases[heartbeat.Epoch]
-	if !known || catalog.Sessions[lease.host].Epoch != heartbeat.Epoch {
+	if !known || lease.expired || catalog.Sessions[lease.host].Epoch != heartbeat.Epoch {
 		ack.Refusal = RefusalNoSession
 		return ack, true
 	}
@@ -161,19 +164,35 @@
 
 // Expired reports whether no process can act under the session any more: its lease
 // has expired by this leader's clock, and so has any lease that an earlier leader
-// may have granted.
+// may have granted. Heartbeats do not renew the lease after that, since the caller
+// closes the session only later.
 func (table *Table) Expired(epoch uint64) bool {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	status := table.leader.Status()
-	if status.Term == table.term {
-		table.observe(status) // the session may be newer than the table
+	if status.Term != table.term {
+		return table.expiredSince(status.LeaderSince)
 	}
+	table.observe(status) // the session may be newer than the table
+	lease, known := table.leases[epoch]
 	since := status.LeaderSince
-	if lease, ok := table.leases[epoch]; ok && status.Term == table.term && lease.renewedAt.After(since) {
+	if known && lease.renewedAt.After(since) {
 		since = lease.renewedAt
 	}
-	return table.clock.Now().Sub(since) > Duration+ClockMargin
+	if !table.expiredSince(since) {
+		return false
+	}
+	if known {
+		lease.expired = true
+		table.leases[epoch] = lease
+	}
+	return true
+}
+
+// expiredSince reports whether a lease that was granted at the latest at the given
+// time has expired.
+func (table *Table) expiredSince(granted time.Time) bool {
+	return table.clock.Now().Sub(granted) > Duration+ClockMargin
 }
 
 // CountSilent returns the number of live sessions whose lease has not been renewed
