--- a/internal/control/raft/follow.go
+++ b/internal/control/raft/follow.go
@@ -62,6 +62,8 @@
 	core.append(entry)
 }
 
+// handleSnapshot replaces the log with the snapshot. It keeps a log that contains the
+// snapshot's last entry, since entries after it may have been acknowledged.
 func (core *Core) handleSnapshot(from MemberID, request SnapshotRequest) {
 	snapshot := request.Snapshot
 	response := AppendResponse{Term: core.hardState.Term, Success: true, Match: snapshot.Index, Round: request.Round}
@@ -70,6 +72,11 @@
 		core.send(from, response)
 		return
 	}
+	if term, ok := core.log.term(snapshot.Index); ok && term == snapshot.Term {
+		core.commit = snapshot.Index
+		core.send(from, response)
+		return
+	}
 	core.log = memoryLog{snapshot: snapshot}
 	core.history = nil
 	core.setMembers(snapshot.Index, snapshot.Members)
--- a/internal/control/raft/raft_test.go
+++ b/internal/control/raft/raft_test.go
@@ -374,3 +374,28 @@
 		}
 	}
 }
+
+// TestSnapshotKeepsAcknowledgedEntries guards against the loss of entries that a member
+// has acknowledged: a snapshot that the leader sent on an outdated answer arrives after
+// entries beyond it.
+func TestSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 12, t.Fatalf)
+	follower, leader := memberName(0), memberName(1)
+	entries := []Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}, {Index: 4, Term: 1, Data: []byte("acknowledged")}}
+	output := group.step(follower, Receive{Envelope: Envelope{From: leader, To: follower, Message: AppendRequest{
+		Term: 1, PrevIndex: 1, PrevTerm: 1, Entries: entries, Commit: 2, Round: 1,
+	}}})
+	is.Equal(output.Messages[0].Message, AppendResponse{Term: 1, Success: true, Match: 4, Round: 1})
+
+	snapshot := Snapshot{Index: 3, Term: 1, Members: group.cores[follower].Members()}
+	output = group.step(follower, Receive{Envelope: Envelope{From: leader, To: follower, Message: SnapshotRequest{
+		Term: 1, Snapshot: snapshot, Round: 2,
+	}}})
+	core := group.cores[follower]
+	is.Equal(core.LastIndex(), uint64(4))
+	is.Equal(core.CommitIndex(), uint64(3)) // a snapshot holds committed entries only
+	is.Equal(len(output.Committed), 1)
+	is.Equal(len(group.disks[follower].entries), 3)
+	is.Equal(output.Messages[0].Message, AppendResponse{Term: 1, Success: true, Match: 3, Round: 2})
+}
