Begin the lease with the first commit of the term

Not seen by callers; found by reading, shown by the test.

Cause: LeaseEnd counted any answer of a quorum, also refusals. A new leader whose followers refuse its first appends, because their logs differ, held the lease before the first entry of its term was committed, and so before it had applied the last entries of the earlier leader. HoldsLease is what callers ask before they use Catalog: - lease.Table refuses the heartbeat of a session that it does not know, and the host gives up its session and its shards; - plan.Controller decides, and group.lagging compares, on the old catalog. steer is safe: it makes a linearizable read first in each term.

Change: no lease before an entry of the term is committed. The node publishes the lease after it has applied what is committed, so HoldsLease now means that Catalog includes all that earlier leaders have committed, and says so.

Cost: nothing where the first append is accepted, since the answer that gives the lease also commits the entry; otherwise the lease comes one exchange later.

--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -251,7 +251,8 @@
 func (node *Node) SetProgress(source ProgressSource) { node.progress.Store(&source) }
 
 // HoldsLease reports whether the member is the leader and holds the lease, so that
-// no other member can be leader now.
+// no other member can be leader now. Catalog then includes all that earlier leaders
+// have committed.
 func (node *Node) HoldsLease() bool {
 	return node.options.Clock.Now().Before(node.status.Load().LeaseEnd)
 }
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -161,9 +161,10 @@
 // LeaseEnd returns the time until which no other member can become leader: a
 // quorum has promised to ignore candidates until then, counted from when the
 // leader sent the messages that they answered. It is the zero time if this
-// member is not the leader or is transferring leadership.
+// member is not the leader, is transferring leadership, or has not committed an entry
+// of its term yet, since it may then lack entries that earlier leaders committed.
 func (core *Core) LeaseEnd() time.Time {
-	if core.role != RoleLeader || core.transfer != "" {
+	if core.role != RoleLeader || core.transfer != "" || core.commit < core.noopIndex {
 		return time.Time{}
 	}
 	contact := core.quorumContact()
--- a/internal/control/raft/raft_test.go
+++ b/internal/control/raft/raft_test.go
@@ -399,3 +399,29 @@
 	is.Equal(len(group.disks[follower].entries), 3)
 	is.Equal(output.Messages[0].Message, AppendResponse{Term: 1, Success: true, Match: 3, Round: 2})
 }
+
+// TestLeaseNeedsFirstCommit guards against a leader that holds the lease before it has
+// committed the first entry of its term, while followers still refuse its appends: its
+// state may lack what earlier leaders have committed and acknowledged.
+func TestLeaseNeedsFirstCommit(t *testing.T) {
+	is := is.New(t)
+	group := newGroup(3, 13, t.Fatalf)
+	candidate := memberName(0)
+	group.disks[candidate].entries = []Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}}
+	group.restart(candidate)
+	core := group.cores[candidate]
+	group.now = group.now.Add(2 * testElection)
+	group.step(candidate, Tick{})
+	refusals := 0
+	for core.Role() != RoleLeader || core.commit < core.noopIndex {
+		response, ok := group.network[0].Message.(AppendResponse)
+		if ok && !response.Success {
+			refusals++
+		}
+		group.deliver(0, false)
+		is.Equal(core.LeaseEnd().IsZero(), core.Role() != RoleLeader || core.commit < core.noopIndex)
+	}
+	is.True(refusals >= 2) // a quorum had answered before the first commit
+	is.Equal(core.Role(), RoleLeader)
+	is.True(group.now.Before(core.LeaseEnd()))
+}
