Keep the vote of a host that forms its group in the same batch

Cause: form replaces the core with one that starts from node.hardState, which only persist updates. A vote that the host granted earlier in the same batch was in the outputs, was written and sent afterwards, and was unknown to the new core: its term went back to 0, and after one election timeout it voted for another member in the same term. With three voters that makes two leaders in one term. It needs a candidate that has formed, and a form request behind its vote request in one batch.

What the host has sent is then on its disk and in the hard state that the new core starts from.

--- a/internal/control/group/member.go
+++ b/internal/control/group/member.go
@@ -70,11 +70,16 @@
 	return reply
 }
 
-// form installs the first snapshot, which is identical on all initial members.
-func (node *Node) form(members raft.Members) error {
+// form installs the first snapshot, which is identical on all initial members. It
+// first persists the outputs of the batch, so that the new core keeps their vote.
+func (node *Node) form(members raft.Members, work *batchWork) error {
 	if len(node.core.Members().Voters) > 0 {
 		return nil
 	}
+	node.processOutputs(work)
+	if node.failed != nil {
+		return node.failed
+	}
 	machine := state.NewMachine()
 	data, err := machine.Snapshot()
 	if err != nil {
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -379,7 +379,7 @@
 	case snapshotResult:
 		node.finishSnapshot(message, work)
 	case formRequest:
-		message.reply <- node.form(message.members)
+		message.reply <- node.form(message.members, work)
 	}
 }
 
