Report only the committed membership

Cause: Status listed the membership in effect, which begins when its entry is appended. admin.retryChange takes a change as done once the leader's status shows it: an operator was told that a host was removed or added, although the entry was on the leader's disk only, or nowhere. If the leader is lost then, the change is too; an operator who wipes the removed host's disk takes away a voter that still counts.

Change: Status lists the membership as of its commit index. Formed still follows the one in effect. The other readers of Status.Members look for the leader's address, for live control hosts and for their number; for them it is enough to see a change once committed.

Ruled out: to let Change wait for the commit. It tells the index, and retryChange would still believe the status.

--- a/internal/control/group/apply_test.go
+++ b/internal/control/group/apply_test.go
@@ -28,7 +28,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = node.disk.Close() })
+	t.Cleanup(func() {
+		for _, sender := range node.senders {
+			sender.close()
+		}
+		_ = node.disk.Close()
+	})
 	return node, clock
 }
 
--- a/internal/control/group/form_test.go
+++ b/internal/control/group/form_test.go
@@ -9,21 +9,22 @@
 	"damaskcrank.example/damaskcrank/internal/control/raft"
 )
 
-// TestFormKeepsVote guards against a second vote in one term: a host that forms its
-// group in the same batch in which it voted for a member that formed before it.
-func TestFormKeepsVote(t *testing.T) {
-	is := is.New(t)
-	node, clock := loadNode(t)
-	t.Cleanup(func() {
-		for _, sender := range node.senders {
-			sender.close()
-		}
-	})
+// threeVoters returns a membership of the node and the voters "b" and "c".
+func threeVoters(node *Node) raft.Members {
 	members := raft.Members{}
 	for position, id := range []raft.MemberID{node.id, "b", "c"} {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(position+1))
 		members.Voters = append(members.Voters, raft.Member{ID: id, Address: address})
 	}
+	return members
+}
+
+// TestFormKeepsVote guards against a second vote in one term: a host that forms its
+// group in the same batch in which it voted for a member that formed before it.
+func TestFormKeepsVote(t *testing.T) {
+	is := is.New(t)
+	node, clock := loadNode(t)
+	members := threeVoters(node)
 	request := raft.VoteRequest{Term: 5, LastIndex: 1, LastTerm: 1}
 	vote := raft.Envelope{From: "b", To: node.id, Message: request}
 	clock.Advance(ElectionTimeout)
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -107,7 +107,7 @@
 
 // Status is the state of the group as one member sees it. Commit, Last and Snapshot
 // are the log indexes of the last committed entry, the last entry and the latest
-// snapshot.
+// snapshot. Members is the membership as of Commit.
 type Status struct {
 	ID          raft.MemberID
 	Role        string
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -489,7 +489,7 @@
 }
 
 func (node *Node) publishStatus() {
-	members := node.core.Members()
+	members := node.core.CommittedMembers()
 	status := &Status{
 		ID:          node.id,
 		Role:        node.core.Role().String(),
@@ -498,7 +498,7 @@
 		Commit:      node.core.CommitIndex(),
 		Last:        node.core.LastIndex(),
 		Snapshot:    node.core.SnapshotIndex(),
-		Formed:      len(members.Voters) > 0,
+		Formed:      len(node.core.Members().Voters) > 0,
 		LedgerSize:  node.machine.Ledger.Len(),
 		LeaseEnd:    node.core.LeaseEnd(),
 		LeaderSince: node.core.LeaderSince(),
--- a/internal/control/group/snapshot_test.go
+++ b/internal/control/group/snapshot_test.go
@@ -33,11 +33,6 @@
 func TestEntriesBeforeInstalledSnapshotAreNotApplied(t *testing.T) {
 	is := is.New(t)
 	node, _ := loadNode(t)
-	t.Cleanup(func() {
-		for _, sender := range node.senders {
-			sender.close()
-		}
-	})
 	data, err := state.EncodeCommand(sessionCommand(1))
 	is.NoErr(err)
 	entries := []raft.Entry{{Index: 1, Term: 1, Kind: raft.EntryNoop}, {Index: 2, Term: 1, Data: data}}
