Answer proposals that can not be committed any more

Not seen by callers; found by reading, shown by the test.

Cause: a proposal was answered only when an entry at its own index was applied.

All get an error other than ErrNotLeader, so that callers take the outcome for unknown, as before.

Ruled out: to end them when the log is truncated. Another member may still hold the entry and commit it.

--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -19,6 +19,9 @@
 // the proposals and the pending reads.
 func (node *Node) applyOutput(output raft.Output) {
 	var completed []completedProposal
+	if output.Snapshot != nil {
+		completed = node.endProposals(output.Snapshot.Index, output.Snapshot.Term)
+	}
 	for _, entry := range output.Committed {
 		answer := node.applyEntry(entry)
 		proposal, ok := node.proposals[entry.Index]
@@ -31,6 +34,11 @@
 		}
 		completed = append(completed, completedProposal{reply: proposal.reply, answer: answer})
 	}
+	for _, entry := range output.Committed {
+		if entry.Kind == raft.EntryNoop { // the first of its term
+			completed = append(completed, node.endProposals(entry.Index, entry.Term)...)
+		}
+	}
 	if len(output.Committed) > 0 {
 		node.catalog.Store(node.machine.Catalog)
 	}
@@ -43,6 +51,23 @@
 	}
 }
 
+// endProposals removes the pending proposals that can not be completed any more once
+// the entry with this index and term is committed: those of earlier terms, since terms
+// never decrease along the log, and those whose entry was not applied here because a
+// snapshot covers it.
+func (node *Node) endProposals(index, term uint64) []completedProposal {
+	var ended []completedProposal
+	for position, proposal := range node.proposals {
+		if position > index && proposal.term >= term {
+			continue
+		}
+		delete(node.proposals, position)
+		err := Error.New("entry %d was overwritten by another leader, or a snapshot hides its result", position)
+		ended = append(ended, completedProposal{reply: proposal.reply, answer: proposeAnswer{err: err}})
+	}
+	return ended
+}
+
 // answerReads sends the index of each read, or 0 if the member is not the leader.
 func (node *Node) answerReads(reads []raft.ReadReady) {
 	for _, read := range reads {
--- a/internal/control/group/change_test.go
+++ b/internal/control/group/change_test.go
@@ -29,17 +29,25 @@
 	return node, clock
 }
 
-// lead lets the node win an election with the votes of "b", which then acknowledges
-// the first entry of the term.
+// lead lets the node win an election, whose first entry "b" then acknowledges.
 func lead(t *testing.T, node *Node, clock *clockwork.FakeClock) {
+	t.Helper()
+	win(t, node, clock)
+	receive(node, raft.AppendResponse{Term: node.core.Term(), Success: true, Match: node.core.LastIndex()})
+	if node.core.CommitIndex() != node.core.LastIndex() {
+		t.Fatal("the first entry of the term is not committed")
+	}
+}
+
+// win lets the node win an election with the votes of "b".
+func win(t *testing.T, node *Node, clock *clockwork.FakeClock) {
 	t.Helper()
 	clock.Advance(2 * ElectionTimeout)
 	node.processBatch(nil)
 	term := node.core.Term() + 1
 	receive(node, raft.VoteResponse{Term: term, PreVote: true, Granted: true})
 	receive(node, raft.VoteResponse{Term: term, Granted: true})
-	receive(node, raft.AppendResponse{Term: term, Success: true, Match: node.core.LastIndex()})
-	if node.core.Role() != raft.RoleLeader || node.core.CommitIndex() != node.core.LastIndex() {
+	if node.core.Role() != raft.RoleLeader {
 		t.Fatal("the node does not lead")
 	}
 }
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -408,6 +408,9 @@
 			continue
 		}
 		index := output.FirstIndex + uint64(offset)
+		if earlier, ok := node.proposals[index]; ok {
+			earlier.reply <- proposeAnswer{err: Error.New("another entry was proposed in place of entry %d", index)}
+		}
 		node.proposals[index] = pendingProposal{term: node.core.Term(), reply: proposal.reply}
 	}
 }
--- a/internal/control/group/propose_test.go
+++ b/internal/control/group/propose_test.go
@@ -133,3 +133,51 @@
 	node.processBatch(nil)
 	is.NoErr((<-again).err) // the member leads in the new term
 }
+
+// TestOverwrittenProposalIsAnswered guards against a proposer that waits until its
+// context ends, although its entry can not be committed any more or is covered by a
+// snapshot. The leader's only placement task is such a proposer, and would do nothing
+// for seconds after the lead was regained.
+func TestOverwrittenProposalIsAnswered(t *testing.T) {
+	cases := []struct {
+		name string
+		// overwrite ends the lead and removes the entries after the index from the log.
+		overwrite func(t *testing.T, node *Node, clock *clockwork.FakeClock, index, term uint64)
+	}{
+		{name: "another leader commits fewer entries", overwrite: func(_ *testing.T, node *Node, _ *clockwork.FakeClock, index, term uint64) {
+			noop := raft.Entry{Index: index + 1, Term: term + 1, Kind: raft.EntryNoop}
+			receive(node, raft.AppendRequest{Term: term + 1, PrevIndex: index, PrevTerm: term, Entries: []raft.Entry{noop}, Commit: index + 1})
+		}},
+		{name: "another leader sends a snapshot", overwrite: func(t *testing.T, node *Node, _ *clockwork.FakeClock, index, term uint64) {
+			snapshot := machineSnapshot(t, index+2, term+1, sessionCommand(1))
+			snapshot.Members = threeVoters(node)
+			receive(node, raft.SnapshotRequest{Term: term + 1, Snapshot: snapshot})
+		}},
+		{name: "the member leads again and proposes at their indexes", overwrite: func(t *testing.T, node *Node, clock *clockwork.FakeClock, index, term uint64) {
+			noop := raft.Entry{Index: index + 1, Term: term + 1, Kind: raft.EntryNoop}
+			receive(node, raft.AppendRequest{Term: term + 1, PrevIndex: index, PrevTerm: term, Entries: []raft.Entry{noop}})
+			win(t, node, clock)
+			for range 2 {
+				node.processBatch(proposeRequest{command: recordEntry(t, 0, 0, 1).Data, reply: make(chan proposeAnswer, 1)})
+			}
+			receive(node, raft.AppendResponse{Term: node.core.Term(), Success: true, Match: node.core.LastIndex()})
+		}},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			node, clock := loadLeaderOfThree(t)
+			index, term := node.core.LastIndex(), node.core.Term()
+			replies := make(chan proposeAnswer, 3)
+			for range cap(replies) {
+				node.processBatch(proposeRequest{command: recordEntry(t, 0, 0, 1).Data, reply: replies})
+			}
+			is.Equal(node.core.LastIndex(), index+3)
+			testcase.overwrite(t, node, clock, index, term)
+			is.Equal(len(replies), 3)
+			for range cap(replies) {
+				is.True((<-replies).err != nil)
+			}
+		})
+	}
+}
