Keep the lease of the newer session when a late answer arrives

Not seen by callers; found by reading, shown by the test.

Cause: Holder.extend took any answer for another session than the one it had a lease for, also for an earlier one. An answer to a heartbeat of the old session that the network delivers after the first answer for the new one ended the host's lease, so that it fenced its requests off until the next answer, about 90 ms later.

Change: an answer for an earlier session changes nothing. Epochs are log indexes, so the session with the higher one is the later one.

--- a/internal/control/lease/holder.go
+++ b/internal/control/lease/holder.go
@@ -126,11 +126,13 @@
 	}
 }
 
+// extend extends the lease of the session, unless the host has one for a later session.
 func (holder *Holder) extend(epoch uint64, expiry time.Time) {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
 	offset := int64(expiry.Sub(holder.start))
-	if holder.epoch.Load() == epoch && offset <= holder.expiry.Load() {
+	current := holder.epoch.Load()
+	if epoch < current || epoch == current && offset <= holder.expiry.Load() {
 		return
 	}
 	holder.epoch.Store(epoch)
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -135,6 +135,21 @@
 	is.True(!pair.holder.Valid()) // the session in the catalog belongs to another process
 }
 
+// TestLateAnswerKeepsNewerLease guards against a host that loses the lease of its new
+// session to a late answer for its old one: datagrams can overtake each other.
+func TestLateAnswerKeepsNewerLease(t *testing.T) {
+	is := is.New(t)
+	pair := newPair()
+	late := pair.table.HandleHeartbeat(pair.holder.NextHeartbeat())
+	is.True(late != nil)
+	pair.leader.commit(state.OpenSession{Host: state.Host{Name: "h", Boot: 7}})
+	pair.catalog = pair.leader.machine.Catalog
+	pair.exchange()
+	is.True(pair.holder.Valid())
+	pair.holder.HandleAck(controlAddress, late)
+	is.True(pair.holder.Valid())
+}
+
 // TestStaleConfigurationEndsLease guards against a host that keeps its lease with a
 // stale configuration. The host gets no configuration changes while its heartbeats
 // are still answered: its lease must expire within MaxConfigAge plus Duration, and
