--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -19,19 +19,26 @@
 // the proposals and the pending reads.
 func (node *Node) applyOutput(output raft.Output) {
 	var completed []completedProposal
+	if output.Snapshot != nil {
+		completed = node.endProposals(output.Snapshot.Index, output.Snapshot.Term)
+	}
 	for _, entry := range output.Committed {
-		result := node.applyEntry(entry)
+		answer := node.applyEntry(entry)
 		proposal, ok := node.proposals[entry.Index]
 		if !ok {
 			continue
 		}
 		delete(node.proposals, entry.Index)
-		answer := proposeAnswer{result: result}
 		if proposal.term != entry.Term {
 			answer = proposeAnswer{err: Error.New("entry %d was overwritten by another leader", entry.Index)}
 		}
 		completed = append(completed, completedProposal{reply: proposal.reply, answer: answer})
 	}
+	for _, entry := range output.Committed {
+		if entry.Kind == raft.EntryNoop { // the first of its term
+			completed = append(completed, node.endProposals(entry.Index, entry.Term)...)
+		}
+	}
 	if len(output.Committed) > 0 {
 		node.catalog.Store(node.machine.Catalog)
 	}
@@ -44,6 +51,23 @@
 	}
 }
 
+// endProposals removes the pending proposals that can not be completed any more once
+// the entry with this index and term is committed: those of earlier terms, since terms
+// never decrease along the log, and those whose entry was not applied here because a
+// snapshot covers it.
+func (node *Node) endProposals(index, term uint64) []completedProposal {
+	var ended []completedProposal
+	for position, proposal := range node.proposals {
+		if position > index && proposal.term >= term {
+			continue
+		}
+		delete(node.proposals, position)
+		err := Error.New("entry %d was overwritten by another leader, or a snapshot hides its result", position)
+		ended = append(ended, completedProposal{reply: proposal.reply, answer: proposeAnswer{err: err}})
+	}
+	return ended
+}
+
 // answerReads sends the index of each read, or 0 if the member is not the leader.
 func (node *Node) answerReads(reads []raft.ReadReady) {
 	for _, read := range reads {
@@ -60,13 +84,18 @@
 	}
 }
 
-// applyEntry applies an entry and returns its result.
-func (node *Node) applyEntry(entry raft.Entry) state.Result {
+// applyEntry applies an entry and returns the answer to its proposal. An entry that
+// is committed in the same batch as the installation of a later snapshot is skipped,
+// since the state already includes it.
+func (node *Node) applyEntry(entry raft.Entry) proposeAnswer {
+	if entry.Index <= node.machine.Catalog.Index {
+		return proposeAnswer{err: Error.New("entry %d was committed, but a snapshot hides its result", entry.Index)}
+	}
 	if entry.Kind == raft.EntryCommand {
-		return node.applyCommand(entry)
+		return proposeAnswer{result: node.applyCommand(entry)}
 	}
 	node.machine.Catalog = node.machine.Catalog.AdvanceTo(entry.Index)
-	return state.Result{Index: entry.Index, Outcome: state.OutcomeDone}
+	return proposeAnswer{result: state.Result{Index: entry.Index, Outcome: state.OutcomeDone}}
 }
 
 // applyCommand applies a command. A command that this version cannot decode is
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -251,7 +251,8 @@
 func (node *Node) SetProgress(source ProgressSource) { node.progress.Store(&source) }
 
 // HoldsLease reports whether the member is the leader and holds the lease, so that
-// no other member can be leader now.
+// no other member can be leader now. Catalog then includes all that earlier leaders
+// have committed.
 func (node *Node) HoldsLease() bool {
 	return node.options.Clock.Now().Before(node.status.Load().LeaseEnd)
 }
@@ -378,7 +379,7 @@
 	case snapshotResult:
 		node.finishSnapshot(message, work)
 	case formRequest:
-		message.reply <- node.form(message.members)
+		message.reply <- node.form(message.members, work)
 	}
 }
 
@@ -407,6 +408,9 @@
 			continue
 		}
 		index := output.FirstIndex + uint64(offset)
+		if earlier, ok := node.proposals[index]; ok {
+			earlier.reply <- proposeAnswer{err: Error.New("another entry was proposed in place of entry %d", index)}
+		}
 		node.proposals[index] = pendingProposal{term: node.core.Term(), reply: proposal.reply}
 	}
 }
@@ -488,7 +492,7 @@
 }
 
 func (node *Node) publishStatus() {
-	members := node.core.Members()
+	members := node.core.CommittedMembers()
 	status := &Status{
 		ID:          node.id,
 		Role:        node.core.Role().String(),
@@ -497,7 +501,7 @@
 		Commit:      node.core.CommitIndex(),
 		Last:        node.core.LastIndex(),
 		Snapshot:    node.core.SnapshotIndex(),
-		Formed:      len(members.Voters) > 0,
+		Formed:      len(node.core.Members().Voters) > 0,
 		LedgerSize:  node.machine.Ledger.Len(),
 		LeaseEnd:    node.core.LeaseEnd(),
 		LeaderSince: node.core.LeaderSince(),
