Grant an upstream nothing once its loss is reported

What callers see: two upstreams may serve one key for up to 600 ms. An upstream that is silent until its grants have ended, and answers again while its removal is being committed, was granted its keys again; the commit then gave them to another, whose primary grants them at once.

Cause: reportLost decides on latestExpiry and proposes RemoveUpstream, which is retried until it is committed. renewGrants went on, and the first answer of the upstream led to a grant with a full lifetime. RemoveUpstream names the epochs of upstream and shard, and a grant changes neither, so it applies all the same.

Ruled out: a grant that is on its way when the loss is decided. It counts from a stamp of the upstream, and latestExpiry includes it from before it is sent.

The commit ends in one of three ways: the upstream is removed; it was announced anew, and a new target replaces this one; or the shard has another epoch, and this primary ends. In none does this target need a grant again.

--- a/internal/dispatch/shard/grant.go
+++ b/internal/dispatch/shard/grant.go
@@ -81,7 +81,10 @@
 	for _, target := range shard.sortedTargets() {
 		grants := &target.grants
 		due := grants.renewNow || now.Sub(grants.sentAt) >= GrantInterval
-		if due && !grants.pending {
+		// A reported loss gives the upstream's keys away whenever it is committed, so
+		// nothing is granted any more. If the upstream is still there, it is entered
+		// again as a new target.
+		if due && !grants.pending && !grants.lossReported {
 			shard.sendGrant(target, now)
 		}
 		shard.reportLost(target, now)
--- a/internal/dispatch/shard/harness_test.go
+++ b/internal/dispatch/shard/harness_test.go
@@ -138,6 +138,12 @@
 	fakeupstreams.dead[address] = true
 }
 
+func (fakeupstreams *fakeUpstreams) revive(address netip.AddrPort) {
+	fakeupstreams.mutex.Lock()
+	defer fakeupstreams.mutex.Unlock()
+	delete(fakeupstreams.dead, address)
+}
+
 func (fakeupstreams *fakeUpstreams) calls() int {
 	fakeupstreams.mutex.Lock()
 	defer fakeupstreams.mutex.Unlock()
--- a/internal/dispatch/shard/move_test.go
+++ b/internal/dispatch/shard/move_test.go
@@ -91,6 +91,44 @@
 	is.Equal(owner.Upstream, "up-1")
 }
 
+// TestLostUpstreamIsNotGrantedAgain delays the commit of an upstream's loss and lets
+// the upstream answer meanwhile. The commit gives its keys away, so a grant that is
+// made after the loss was decided leaves two upstreams that may serve them.
+func TestLostUpstreamIsNotGrantedAgain(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, keyedService, 2)
+	harness.upstreams.kill(upstreamAddress(0))
+	proposed, commit, committed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	harness.control.before = func(command state.Command) error {
+		if _, ok := command.(state.RemoveUpstream); ok {
+			close(proposed)
+			<-commit
+		}
+		return nil
+	}
+	harness.control.after = func(command state.Command) {
+		if _, ok := command.(state.RemoveUpstream); ok {
+			close(committed)
+		}
+	}
+	target := harness.shard.targets["up-0"]
+	harness.renewUntil(target.grants.latestExpiry)
+	harness.clock.Advance(time.Millisecond)
+	harness.shard.renewGrants(harness.clock.Now())
+	<-proposed
+	harness.receiveUntil(func() bool { return !target.grants.pending })
+	harness.upstreams.revive(upstreamAddress(0))
+	for range 3 {
+		harness.clock.Advance(GrantInterval)
+		harness.grant()
+	}
+	close(commit)
+	<-committed
+	_, owner := harness.control.catalog().Tables[keyedService].Find("van-7")
+	is.Equal(owner.Upstream, "")                                     // the keys are free to be given to another upstream
+	is.True(!harness.clock.Now().Before(target.grants.latestExpiry)) // and no grant for them is in force
+}
+
 // TestPrimaryPauseIsNotUpstreamLoss pauses the primary itself for longer than the
 // grant TTL. The upstream must not be reported lost, and must have a valid grant
 // again after the next renewals.
