Keep the wait for an earlier process's grants over announcements

What callers see: two processes of one upstream may serve the same keys for up to 620 ms. An upstream that is announced at a second address waits until the grants of its process at the first have ended; a further announcement in that time, at a third address or at the second with other slots, made the primary forget the wait.

Cause: carryOver set notBefore from the previous target's own grants only. A target that still waits has made none, so the next one began with no wait at all.

Evidence: TestUpstreamChangesAddressTwice failed in both of its cases before, with a grant confirmed while the first process's was in force, and passes with the change.

Change: the next target keeps the previous one's wait, or waits longer where the previous one has made grants at another address.

Not covered: a primary that takes a shard over does not know of an address that changed in the last 600 ms. Only grants are at stake there: the new primary sends requests to the new address alone, and the old one has lost its lease.

--- a/internal/dispatch/shard/catalog.go
+++ b/internal/dispatch/shard/catalog.go
@@ -71,7 +71,7 @@
 }
 
 // carryOver copies the state that must survive a new announcement: the expiry of
-// grants that an earlier process at another address may still hold and, if the
+// grants that earlier processes at other addresses may still hold and, if the
 // process is the same, its warm-up and recent latency. Requests in flight stay
 // with the previous target.
 func (shard *Shard) carryOver(previous, next *target) *target {
@@ -79,8 +79,9 @@
 		return next
 	}
 	next.grants.trackedSince = shard.env.Clock.Now()
+	next.grants.notBefore = previous.grants.notBefore
 	if previous.upstream.Address != next.upstream.Address {
-		next.grants.notBefore = previous.grants.latestExpiry
+		next.grants.notBefore = later(previous.grants.notBefore, previous.grants.latestExpiry)
 	}
 	if previous.upstream.Incarnation == next.upstream.Incarnation {
 		next.ramp = previous.ramp
--- a/internal/dispatch/shard/move_test.go
+++ b/internal/dispatch/shard/move_test.go
@@ -309,3 +309,33 @@
 	is.True(harness.shard.targets["up-0"].hasGrant(harness.clock.Now()))
 	is.Equal(fmt.Sprint(len(harness.upstreams.grants[upstreamAddress(5)].Slots)), "8")
 }
+
+// TestUpstreamChangesAddressTwice announces an upstream at a second address, and then
+// again before the grants of its first process have expired: at a third address, or
+// with other slots. The wait for those grants was forgotten, so that two processes
+// could serve the same keys.
+func TestUpstreamChangesAddressTwice(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(upstream *state.Upstream)
+	}{
+		{"third address", func(upstream *state.Upstream) { upstream.Address = upstreamAddress(6) }},
+		{"same address, other slots", func(upstream *state.Upstream) { upstream.Slots++ }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			harness := newHarness(t, keyedService, 1)
+			current := harness.shard.targets["up-0"].upstream
+			until := harness.shard.targets["up-0"].grants.latestExpiry
+			current.Address = upstreamAddress(5)
+			harness.control.commit(state.RegisterUpstream{Upstream: current})
+			harness.shard.syncCatalog()
+			test.change(&current)
+			harness.control.commit(state.RegisterUpstream{Upstream: current})
+			harness.shard.syncCatalog()
+			harness.grant()
+			is.True(harness.clock.Now().Before(until))
+			is.True(harness.shard.targets["up-0"].grants.confirmedUntil.IsZero()) // not granted yet
+		})
+	}
+}
