Check the upstream's grant directly before a write is sent

What callers see: a write may run at an upstream that no longer owns its key, beside requests at the new owner. Only an upstream that checks fencing tokens refuses it.

Cause: the grant is checked when a request leaves the queue. A write with an idempotency key is then entered in the ledger, which may take 2 s while the control leader changes; before the send only the host's lease was checked again. A grant lasts 0.6 s, so by then the upstream may have been removed and its keys given away. The same check came too early after a lost upstream: handleLoss withdraws the grant, but attempts under way did not see it.

Evidence: TestGrantEndsBeforeSend lets the grant expire during the ledger entry.

Ruled out: a key that moves meanwhile. Its slot is released only once no request for it is running, and an attempt counts as running from before its ledger entry.

Change: the expiry of the confirmed grant is readable by attempts, and send checks it beside the lease.

--- a/internal/dispatch/shard/attempt.go
+++ b/internal/dispatch/shard/attempt.go
@@ -57,6 +57,8 @@
 	call     upstr.Call
 	deadline time.Time
 	id       string
+	// granted reports whether the upstream still has a grant.
+	granted func(now time.Time) bool
 }
 
 // usesLedger reports whether the request is recorded in the ledger: it is not
@@ -89,11 +91,15 @@
 	return upstreamOutcome{result: result, sentAt: sentAt, took: took}
 }
 
-// send sends the request. It checks the lease directly before the first byte.
+// send sends the request. It checks the lease and the upstream's grant directly
+// before the first byte: entering the request in the ledger may have outlasted both.
 func (attempt *attempt) send(ctx context.Context) upstr.Result {
 	if !attempt.shard.isPrimary() {
 		return upstr.NotRun{Cause: upstr.CauseFenced, Err: Error.New("the lease has ended")}
 	}
+	if !attempt.granted(attempt.shard.env.Clock.Now()) {
+		return upstr.NotRun{Cause: upstr.CauseFenced, Err: Error.New("the upstream's grant has ended")}
+	}
 	return attempt.shard.env.Upstreams.Send(ctx, attempt.call)
 }
 
@@ -251,7 +257,7 @@
 	target.runs[job] = now
 	shard.running[job] = true
 	attempt := &attempt{
-		shard: shard, request: job.request, deadline: job.deadline, id: uuid.NewString(),
+		shard: shard, request: job.request, deadline: job.deadline, id: uuid.NewString(), granted: target.hasGrant,
 		call: upstr.Call{
 			Address: target.upstream.Address, Workspace: job.request.Workspace, RequestID: job.request.ID,
 			Method: job.request.Method, Target: job.request.Target, Header: job.request.Header,
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -187,7 +187,7 @@
 	job := message.job
 	if message.crashed {
 		// The upstream gets no requests until it confirms a grant again.
-		message.target.grants.confirmedUntil = time.Time{}
+		message.target.grants.confirmedUntil.set(time.Time{})
 	}
 	if message.quarantined {
 		shard.quarantine(job.request.Fingerprint)
--- a/internal/dispatch/shard/grant.go
+++ b/internal/dispatch/shard/grant.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,7 +43,8 @@
 	// latestExpiry is the time by which every grant sent so far has expired.
 	latestExpiry time.Time
 	// confirmedUntil is the expiry of the latest grant that the upstream accepted.
-	confirmedUntil time.Time
+	// Attempts read it too.
+	confirmedUntil sharedTime
 	// confirmedSlots maps the slots that the upstream has confirmed to their
 	// fencing tokens.
 	confirmedSlots map[state.Slot]uint64
@@ -60,10 +62,23 @@
 	renewNow bool
 }
 
+// sharedTime is a time that the loop sets and other goroutines may read. It is zero
+// at first.
+type sharedTime struct{ value atomic.Pointer[time.Time] }
+
+func (sharedtime *sharedTime) set(value time.Time) { sharedtime.value.Store(&value) }
+
+func (sharedtime *sharedTime) get() time.Time {
+	if value := sharedtime.value.Load(); value != nil {
+		return *value
+	}
+	return time.Time{}
+}
+
 // hasGrant reports whether the upstream has confirmed a grant that does not
-// expire within sendMargin.
+// expire within sendMargin. It may be called by any goroutine.
 func (target *target) hasGrant(now time.Time) bool {
-	return now.Add(sendMargin).Before(target.grants.confirmedUntil)
+	return now.Add(sendMargin).Before(target.grants.confirmedUntil.get())
 }
 
 // hasSlot reports whether the upstream has a grant and has confirmed the slot with
@@ -220,7 +235,7 @@
 func (shard *Shard) confirmGrant(message grantMessage, until time.Time) {
 	grants := &message.target.grants
 	grants.revision = message.grant.Revision
-	grants.confirmedUntil = until
+	grants.confirmedUntil.set(until)
 	if message.grant.Full {
 		grants.confirmedSlots = map[state.Slot]uint64{}
 		for _, slot := range message.grant.Slots {
--- a/internal/dispatch/shard/load_test.go
+++ b/internal/dispatch/shard/load_test.go
@@ -156,7 +156,7 @@
 	harness.control.commit(state.RegisterUpstream{Upstream: current})
 	harness.shard.syncCatalog()
 	target := harness.shard.targets["up-0"]
-	target.grants.confirmedUntil = harness.clock.Now().Add(time.Hour)
+	target.grants.confirmedUntil.set(harness.clock.Now().Add(time.Hour))
 	for range 50 {
 		harness.submit(newRequest(unkeyedService, http.MethodGet, ""))
 	}
@@ -257,7 +257,7 @@
 		harness.clock.Advance(time.Second)
 		target := harness.shard.targets["up-0"]
 		target.ramp.Duration = 0
-		target.grants.confirmedUntil = harness.clock.Now().Add(time.Hour)
+		target.grants.confirmedUntil.set(harness.clock.Now().Add(time.Hour))
 		harness.outcome(harness.submit(newRequest(keyedService, http.MethodGet, "")))
 	}
 	retries := harness.upstreams.calls() - requests
--- a/internal/dispatch/shard/move_test.go
+++ b/internal/dispatch/shard/move_test.go
@@ -300,7 +300,7 @@
 	harness.control.commit(state.RegisterUpstream{Upstream: current})
 	harness.shard.syncCatalog()
 	harness.grant()
-	is.True(harness.shard.targets["up-0"].grants.confirmedUntil.IsZero()) // not granted yet
+	is.True(harness.shard.targets["up-0"].grants.confirmedUntil.get().IsZero()) // not granted yet
 	harness.clock.Advance(until.Sub(harness.clock.Now()))
 	for range 2 {
 		harness.shard.targets["up-0"].grants.renewNow = true
@@ -335,7 +335,7 @@
 			harness.shard.syncCatalog()
 			harness.grant()
 			is.True(harness.clock.Now().Before(until))
-			is.True(harness.shard.targets["up-0"].grants.confirmedUntil.IsZero()) // not granted yet
+			is.True(harness.shard.targets["up-0"].grants.confirmedUntil.get().IsZero()) // not granted yet
 		})
 	}
 }
--- a/internal/dispatch/shard/once_test.go
+++ b/internal/dispatch/shard/once_test.go
@@ -148,6 +148,29 @@
 	is.Equal(count[state.DropRequest](harness.control), 1)
 }
 
+// TestGrantEndsBeforeSend lets the upstream's grant expire while a write is entered in
+// the ledger. The upstream's keys may have another owner by then, so the write must
+// not be sent to it.
+func TestGrantEndsBeforeSend(t *testing.T) {
+	for _, service := range []string{keyedService, unkeyedService} {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			harness := newHarness(t, service, 2)
+			harness.control.after = func(command state.Command) {
+				if _, ok := command.(state.BeginRequest); ok {
+					harness.clock.Advance(GrantTTL)
+				}
+			}
+			refusal, ok := harness.outcome(harness.submit(newRequest(service, http.MethodPost, "k"))).(calls.Refusal)
+			is.True(ok)
+			is.Equal(refusal.Reason, calls.ReasonKeyMoving)
+			is.Equal(refusal.Ran, calls.RanNot)
+			is.Equal(harness.upstreams.calls(), 0)
+			is.Equal(count[state.DropRequest](harness.control), 1)
+		})
+	}
+}
+
 // TestDuplicateWhileRunning submits a write again while the first one is running.
 // The duplicate must wait without occupying a slot and get the first one's answer.
 func TestDuplicateWhileRunning(t *testing.T) {
