Check the quarantine again before a request is sent

What callers see: a request that crashes upstreams may crash more of them after it was quarantined. Copies of it that wait for a slot, or a copy that is hedged, were sent all the same: a crash leaves fewer slots, so copies wait just then.

Cause: the quarantine was checked when a request arrives and when it is retried. In between it may wait in the queue up to its deadline, and a hedge checked nothing.

Change: dispatchTo refuses a quarantined request as not run, and shouldHedge leaves it alone.

--- a/internal/dispatch/shard/attempt.go
+++ b/internal/dispatch/shard/attempt.go
@@ -215,8 +215,13 @@
 }
 
 // dispatchTo sends a request to an upstream, or refuses it if the upstream may
-// not serve its key now.
+// not serve its key now or the request was quarantined while it waited.
 func (shard *Shard) dispatchTo(job *job, target *target, now time.Time) {
+	if shard.isQuarantined(job.request.Fingerprint) {
+		job.class.queue.Done(job.request.Workspace)
+		job.respond(quarantinedRefusal())
+		return
+	}
 	token, ok := shard.tokenFor(job, target, now)
 	if !ok {
 		job.class.queue.Done(job.request.Workspace)
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -299,6 +299,9 @@
 	if job.hedged || job.responded || job.inFlight != 1 || !job.request.Idempotent() || shard.hedgeBudget < 1 {
 		return false
 	}
+	if shard.isQuarantined(job.request.Fingerprint) {
+		return false
+	}
 	typical := shard.lowestTypicalLatency()
 	return typical > 0 && now.Sub(job.startedAt) > max(typical*hedgeFactor, minHedgeDelay)
 }
--- a/internal/dispatch/shard/once_test.go
+++ b/internal/dispatch/shard/once_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -235,6 +237,64 @@
 	is.Equal(harness.upstreams.calls(), crashed) // no further upstream is crashed
 }
 
+// TestWaitingRequestIsQuarantined quarantines a request, by losses on other hosts, while
+// a copy of it waits for a slot. The copy passed the check on its arrival and was sent
+// all the same, to crash a third upstream.
+func TestWaitingRequestIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 1)
+	release := make(chan struct{})
+	harness.upstreams.send = func(context.Context, upstr.Call) upstr.Result {
+		<-release
+		return upstr.Response{Answer: state.Answer{Status: http.StatusOK}}
+	}
+	running := []*job{
+		harness.submit(newRequest(unkeyedService, http.MethodGet, "first")), harness.submit(newRequest(unkeyedService, http.MethodGet, "second")),
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	request.Target = "/crash"
+	request.SetFingerprint()
+	waiting := harness.submit(request)
+	for number := range state.QuarantineThreshold {
+		harness.control.commit(state.RecordSuspect{Fingerprint: request.Fingerprint, Upstream: fmt.Sprint(number), At: harness.clock.Now()})
+	}
+	close(release)
+	for _, job := range running {
+		harness.outcome(job)
+	}
+	refusal, ok := harness.outcome(waiting).(calls.Refusal)
+	is.True(ok)
+	is.Equal(refusal.Reason, calls.ReasonQuarantined)
+	is.Equal(refusal.Ran, calls.RanNot)
+	is.Equal(harness.upstreams.calls(), len(running))
+}
+
+// TestQuarantinedRequestIsNotHedged quarantines a slow read while it runs. The second
+// send of a hedge would have crashed one more upstream.
+func TestQuarantinedRequestIsNotHedged(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 2)
+	harness.shard.hedgeBudget = 5
+	for _, target := range harness.shard.targets {
+		target.ramp.RecordAnswer(harness.clock.Now(), 10*time.Millisecond, harness.clock.Now())
+	}
+	release := make(chan struct{})
+	harness.upstreams.send = func(context.Context, upstr.Call) upstr.Result {
+		<-release
+		return upstr.Response{Answer: state.Answer{Status: http.StatusOK}}
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	job := harness.submit(request)
+	for number := range state.QuarantineThreshold {
+		harness.control.commit(state.RecordSuspect{Fingerprint: request.Fingerprint, Upstream: fmt.Sprint(number), At: harness.clock.Now()})
+	}
+	harness.clock.Advance(time.Second / 10)
+	harness.shard.hedge(harness.clock.Now())
+	is.Equal(job.inFlight, 1)
+	close(release)
+	harness.outcome(job)
+}
+
 // TestSuspectIsCleared retries a request that was running when an upstream was lost
 // for another reason. Once it has been answered, it must no longer be a suspect.
 func TestSuspectIsCleared(t *testing.T) {
--- a/internal/dispatch/shard/submit.go
+++ b/internal/dispatch/shard/submit.go
@@ -78,10 +78,7 @@
 	case !shard.isPrimary():
 		return notRun(calls.ReasonShardMoved), true
 	case shard.isQuarantined(job.request.Fingerprint):
-		return calls.Refusal{
-			Reason: calls.ReasonQuarantined, Ran: calls.RanNot,
-			Detail: "upstreams were lost while they ran this request",
-		}, true
+		return quarantinedRefusal(), true
 	case !job.deadline.After(now):
 		return calls.Refusal{Reason: calls.ReasonDeadlinePassed, Ran: calls.RanNot}, true
 	case len(shard.targets) == 0:
@@ -93,6 +90,13 @@
 	}
 }
 
+func quarantinedRefusal() calls.Refusal {
+	return calls.Refusal{
+		Reason: calls.ReasonQuarantined, Ran: calls.RanNot,
+		Detail: "upstreams were lost while they ran this request",
+	}
+}
+
 // deadlineRefusal returns the refusal of a request that cannot be started before
 // its deadline, and whether there is one.
 func (shard *Shard) deadlineRefusal(job *job, now time.Time) (calls.Refusal, bool) {
