Let the catalog end a quarantine that a primary reported

What callers see: a request is refused as quarantined by one primary for as long as that primary runs, after the quarantine was cleared or its hour had passed.

Cause: a primary whose report of a loss quarantines a request remembers that, since its catalog may lag. It forgot only when it looked the request up while the catalog listed it. If no copy arrived in that time, the memory outlived the quarantine.

Change: the primary remembers the log index of its report, and the catalog decides once it has reached that index.

--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -177,7 +177,9 @@
 			Upstream:    target.upstream.ID.String() + "@" + target.upstream.Incarnation,
 			At:          shard.env.Clock.Now(),
 		})
-		message.quarantined = result.Outcome == state.OutcomeQuarantined
+		if result.Outcome == state.OutcomeQuarantined {
+			message.quarantinedAt = result.Index
+		}
 	}
 	shard.post(message)
 }
@@ -189,8 +191,8 @@
 		// The upstream gets no requests until it confirms a grant again.
 		message.target.grants.confirmedUntil.set(time.Time{})
 	}
-	if message.quarantined {
-		shard.quarantine(job.request.Fingerprint)
+	if message.quarantinedAt > 0 {
+		shard.quarantine(job.request.Fingerprint, message.quarantinedAt)
 	}
 	if job.responded || job.inFlight > 0 {
 		return
@@ -205,22 +207,23 @@
 	job.respond(refusal)
 }
 
-// quarantine makes the shard refuse a request from now on, even before the
-// catalog lists it as quarantined.
-func (shard *Shard) quarantine(fingerprint string) {
+// quarantine makes the shard refuse a request until its catalog has reached the
+// index, from which the catalog decides.
+func (shard *Shard) quarantine(fingerprint string, index uint64) {
 	if shard.quarantined == nil {
-		shard.quarantined = map[string]bool{}
+		shard.quarantined = map[string]uint64{}
 	}
-	shard.quarantined[fingerprint] = true
+	shard.quarantined[fingerprint] = index
 }
 
 func (shard *Shard) isQuarantined(fingerprint string) bool {
-	if shard.env.Catalog().Quarantine[fingerprint].Quarantined() {
-		// The catalog lists it now, and decides when the quarantine ends.
+	catalog := shard.env.Catalog()
+	index, quarantined := shard.quarantined[fingerprint]
+	if quarantined && catalog.Index >= index {
 		delete(shard.quarantined, fingerprint)
-		return true
+		quarantined = false
 	}
-	return shard.quarantined[fingerprint]
+	return quarantined || catalog.Quarantine[fingerprint].Quarantined()
 }
 
 // clearSuspect deletes the suspect record, if any, of a request that has been
--- a/internal/dispatch/shard/once_test.go
+++ b/internal/dispatch/shard/once_test.go
@@ -295,6 +295,37 @@
 	harness.outcome(job)
 }
 
+// TestQuarantineEndsWithTheCatalogs lets the catalog list and drop a request's quarantine
+// while no copy of the request arrives. The primary that had learned of the quarantine
+// from the result of its own report refused the request for as long as it ran.
+func TestQuarantineEndsWithTheCatalogs(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 4)
+	harness.upstreams.send = func(_ context.Context, call upstr.Call) upstr.Result {
+		harness.upstreams.kill(call.Address)
+		return upstr.Lost{Err: errInjected}
+	}
+	before := harness.control.catalog()
+	lagging := &atomic.Bool{}
+	lagging.Store(true)
+	harness.shard.env.Catalog = func() *state.Catalog {
+		if lagging.Load() {
+			return before
+		}
+		return harness.control.catalog()
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	harness.outcome(harness.submit(request))
+	again, ok := harness.outcome(harness.submit(request)).(calls.Refusal)
+	is.True(ok)
+	is.Equal(again.Reason, calls.ReasonQuarantined) // though this host's catalog does not list it yet
+	harness.control.commit(state.ClearSuspect{Fingerprint: request.Fingerprint})
+	lagging.Store(false)
+	harness.upstreams.send = nil
+	_, ok = harness.outcome(harness.submit(request)).(calls.Response)
+	is.True(ok)
+}
+
 // TestSuspectIsCleared retries a request that was running when an upstream was lost
 // for another reason. Once it has been answered, it must no longer be a suspect.
 func TestSuspectIsCleared(t *testing.T) {
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -108,8 +108,8 @@
 	lost   upstr.Lost
 	// crashed is set if the upstream's process was lost too.
 	crashed bool
-	// quarantined is set if the request must be refused from now on.
-	quarantined bool
+	// quarantinedAt is the log index at which the request was quarantined, or 0.
+	quarantinedAt uint64
 }
 
 type respondMessage struct {
@@ -233,8 +233,8 @@
 	roundRobinNext int
 	rebalancer     rebalancer
 	// quarantined holds quarantined fingerprints that the catalog may not list
-	// yet.
-	quarantined map[string]bool
+	// yet, and the log index from which it does.
+	quarantined map[string]uint64
 	// lastSweep is when deadlines, grants, hedges and overload were last checked.
 	lastSweep time.Time
 	// stopReason is why the shard accepts no new requests; empty if it does.
