Name the epoch in a release of shards

What callers see: two primaries of an upstream or service, or two allocators of a workspace's rate, at once, until the first one's catalog catches up (2 s at most).

Cause: ReleaseShards named the session alone. A release whose reply is late is proposed again, by proposeWithRetry, by the group's client, and for quota shards by every reconcile while the shard moves. If the shard has come back to the same session by then, or was moved to its own holder because the other host had gone, the repetition releases the new tenure: the planner gives the shard to another host while the holder still serves it under a valid lease.

Ruled out: ReleaseSlots, which names the token of each slot, and the release of a shard that is not moving, which both proposers hold back.

Change: the command names the epoch under which its proposer held the shards, and releases nothing under another. 0 matches any epoch, as in logs and from hosts of earlier versions. While hosts of two versions run together, those of the earlier one ignore the epoch, so a repeated release would apply there only.

--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -44,10 +44,14 @@
 // their holders release them.
 type MoveShards struct{ Moves []ShardMove }
 
-// ReleaseShards is proposed by the holder of shards that it no longer serves.
+// ReleaseShards is proposed by the holder of shards that it no longer serves. It
+// releases only those that the session still holds under the given epoch.
 type ReleaseShards struct {
 	Session uint64
-	Shards  []ShardID
+	// Epoch is the epoch of the shards. Logs of earlier versions have 0, which
+	// matches any.
+	Epoch  uint64
+	Shards []ShardID
 }
 
 // RemoveShards removes shards that no host holds and nothing needs.
--- a/internal/control/state/fleet.go
+++ b/internal/control/state/fleet.go
@@ -62,12 +62,13 @@
 }
 
 // releaseShards assigns released shards to the hosts that they are moving to, and
-// frees those without such a host.
+// frees those without such a host. A release may be proposed twice, and by then the
+// session may hold the shard anew under another epoch.
 func (catalog *Catalog) releaseShards(index uint64, command ReleaseShards) {
 	shards := maps.Clone(catalog.Shards)
 	for _, id := range command.Shards {
 		shard, ok := shards[id]
-		if !ok || shard.Session != command.Session {
+		if !ok || shard.Session != command.Session || command.Epoch != 0 && shard.Epoch != command.Epoch {
 			continue
 		}
 		next := Shard{Epoch: index}
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -178,10 +178,12 @@
 }
 
 // TestShardMoves checks that a shard changes its holder only when it is released
-// or its session is closed.
+// or its session is closed. A release that arrives again, after the shard has come
+// back to the same session, must not take the shard from its holder.
 func TestShardMoves(t *testing.T) {
 	id := DispatchShard("s", "u0")
 	toH1 := MoveShards{Moves: []ShardMove{{Shard: id, Epoch: 6, Host: "h1"}}}
+	released := ReleaseShards{Session: 2, Epoch: 6, Shards: []ShardID{id}}
 	for _, test := range []struct {
 		name     string
 		commands []Command
@@ -190,6 +192,13 @@
 		{"move alone", []Command{toH1}, "h0"},
 		{"move and release", []Command{toH1, ReleaseShards{Session: 2, Shards: []ShardID{id}}}, "h1"},
 		{"release by another session", []Command{toH1, ReleaseShards{Session: 3, Shards: []ShardID{id}}}, "h0"},
+		{"release repeated after the shard came back", []Command{
+			toH1, released, MoveShards{Moves: []ShardMove{{Shard: id, Epoch: 9, Host: "h0"}}},
+			ReleaseShards{Session: 3, Shards: []ShardID{id}}, released,
+		}, "h0"},
+		{"release repeated after a move to the holder itself", []Command{
+			MoveShards{Moves: []ShardMove{{Shard: id, Epoch: 6, Host: "h0"}}}, released, released,
+		}, "h0"},
 		{"release to a host that is gone", []Command{toH1, CloseSession{Host: "h1", Epoch: 3}, ReleaseShards{Session: 2, Shards: []ShardID{id}}}, ""},
 		{"new session of the holder", []Command{OpenSession{Host: Host{Name: "h0", Boot: 2}}}, "h0"},
 		{"session closed", []Command{CloseSession{Host: "h0", Epoch: 2}}, ""},
--- a/internal/dispatch/duty/duty.go
+++ b/internal/dispatch/duty/duty.go
@@ -131,16 +131,16 @@
 			continue
 		}
 		delete(manager.allocators, id)
-		go manager.releaseAllocator(id, allocator, assigned.Session)
+		go manager.releaseAllocator(id, allocator, assigned)
 	}
 }
 
-func (manager *Manager) releaseAllocator(id state.ShardID, allocator *quota.Allocator, session uint64) {
+func (manager *Manager) releaseAllocator(id state.ShardID, allocator *quota.Allocator, assigned state.Shard) {
 	allocator.Close()
 	manager.env.Stats.Moved("shard", 1)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	command := state.ReleaseShards{Session: session, Shards: []state.ShardID{id}}
+	command := state.ReleaseShards{Session: assigned.Session, Epoch: assigned.Epoch, Shards: []state.ShardID{id}}
 	if _, err := manager.env.Control.Propose(ctx, command); err != nil {
 		manager.env.Log.WithError(err).Warnf("duty: cannot release shard %s", id)
 	}
--- a/internal/dispatch/shard/catalog.go
+++ b/internal/dispatch/shard/catalog.go
@@ -193,7 +193,7 @@
 	}
 	shard.releasing = true
 	shard.env.Stats.Moved("shard", 1)
-	command := state.ReleaseShards{Session: current.Session, Shards: []state.ShardID{shard.id}}
+	command := state.ReleaseShards{Session: current.Session, Epoch: shard.epoch, Shards: []state.ShardID{shard.id}}
 	go func() { shard.post(releasedMessage{released: shard.proposeWithRetry(command)}) }()
 }
 
--- a/internal/dispatch/shard/move_test.go
+++ b/internal/dispatch/shard/move_test.go
@@ -236,6 +236,34 @@
 	is.True(harness.shard.ended())
 }
 
+// TestRepeatedReleaseKeepsLaterTenure loses the reply to a release and moves the shard
+// back before the release is proposed again. The repetition released the shard from
+// the primary that had just begun, and the next one began beside it.
+func TestRepeatedReleaseKeepsLaterTenure(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 1)
+	id := harness.shard.id
+	shardOf := func() state.Shard { return harness.control.catalog().Shards[id] }
+	lost := false
+	harness.control.before = func(command state.Command) error {
+		if _, ok := command.(state.ReleaseShards); !ok || lost {
+			return nil
+		}
+		lost = true
+		harness.control.commit(command)
+		harness.control.commit(state.MoveShards{Moves: []state.ShardMove{{Shard: id, Epoch: shardOf().Epoch, Host: testHost}}})
+		harness.control.commit(state.ReleaseShards{Session: shardOf().Session, Epoch: shardOf().Epoch, Shards: []state.ShardID{id}})
+		return errInjected
+	}
+	harness.control.commit(state.MoveShards{Moves: []state.ShardMove{{Shard: id, Epoch: harness.shard.epoch, Host: "host-1"}}})
+	harness.shard.syncCatalog()
+	harness.shard.handOver()
+	harness.receiveUntil(func() bool { return harness.shard.released })
+	is.Equal(count[state.ReleaseShards](harness.control), 3)
+	is.Equal(shardOf().Host, testHost)
+	is.True(shardOf().Epoch > harness.shard.epoch)
+}
+
 // TestRefusesWhenNotPrimary checks that requests are refused as not run if the
 // host is not, or no longer, the shard's primary, or has no upstream left.
 func TestRefusesWhenNotPrimary(t *testing.T) {
