Number loans so that reports match one allocator only

What callers see: more requests of a workspace than its rate and burst allow, by the tokens of one loan, around a takeover of its quota shard.

Cause: each allocator numbered its loans from 1, and reports name host and number. A late report that a loan of the earlier allocator was spent, or returned, counted for a loan of the present one, whose tokens could then be lent a second time.

Change: a loan's ID begins with the epoch of the allocator's shard.

--- a/internal/dispatch/quota/allocator.go
+++ b/internal/dispatch/quota/allocator.go
@@ -108,7 +108,7 @@
 	defer close(allocator.done)
 	workspace, _ := allocator.id.Quota()
 	rate, _ := allocator.catalog().Rate(workspace)
-	bucket := newBucket(rate.PerSecond, rate.Burst, allocator.clock.Now())
+	bucket := newBucket(allocator.epoch, rate.PerSecond, rate.Burst, allocator.clock.Now())
 	for {
 		select {
 		case <-allocator.stop:
--- a/internal/dispatch/quota/allocator_test.go
+++ b/internal/dispatch/quota/allocator_test.go
@@ -116,6 +116,27 @@
 	is.Equal(fixture.borrow(t, 50).Count, 4)
 }
 
+// TestReportOnEarlierAllocatorsLoan sends a report on a loan of an earlier allocator,
+// late, to the next one. Loans were numbered from 1 by each allocator, so the report
+// counted for a loan whose tokens could still be spent, and they were lent twice.
+func TestReportOnEarlierAllocatorsLoan(t *testing.T) {
+	is := is.New(t)
+	fixture := newAllocatorFixture(t)
+	fixture.borrow(t, 1)
+	fixture.clock.Advance(10 * time.Second)
+	earlier := fixture.borrow(t, 50)
+	is.Equal(earlier.Count, 4) // half of the burst
+	id := state.QuotaShard("w")
+	fixture.commit(state.ReleaseShards{Session: 2, Epoch: 3, Shards: []state.ShardID{id}})
+	fixture.commit(state.MoveShards{Moves: []state.ShardMove{{Shard: id, Epoch: 4, Host: "h0"}}})
+	fixture.allocator = NewAllocator(id, 5, "h0", fixture.lease, func() *state.Catalog { return fixture.machine.Catalog }, fixture.clock)
+	t.Cleanup(fixture.allocator.Close)
+	fixture.borrow(t, 1)
+	fixture.clock.Advance(10 * time.Second)
+	is.Equal(fixture.borrow(t, 50).Count, 4)
+	is.Equal(fixture.borrow(t, 50, LoanReport{Loan: earlier.Loan}).Count, 0)
+}
+
 // limiterFixture runs a limiter step by step, without its goroutine, against a
 // scripted allocator.
 type limiterFixture struct {
--- a/internal/dispatch/quota/bucket.go
+++ b/internal/dispatch/quota/bucket.go
@@ -21,6 +21,9 @@
 	// maxLoanFraction is the fraction of the burst that may be on loan at any time, so
 	// that a new allocator knows how much the previous one may have lent.
 	maxLoanFraction = 0.5
+	// epochShift is the number of low bits in a loan's ID that count the loans of one
+	// allocator. The other bits are the epoch of its shard.
+	epochShift = 32
 )
 
 // loan is a batch of tokens that was lent to a host's limiter.
@@ -49,9 +52,10 @@
 }
 
 // newBucket returns an empty bucket, since a previous allocator may just have lent
-// tokens.
-func newBucket(perSecond, burst float64, now time.Time) *bucket {
-	bucket := &bucket{perSecond: perSecond, burst: burst, filledAt: now}
+// tokens. The IDs of its loans begin with the epoch of the allocator's shard: late
+// reports on the previous allocator's loans must match none of them.
+func newBucket(epoch uint64, perSecond, burst float64, now time.Time) *bucket {
+	bucket := &bucket{perSecond: perSecond, burst: burst, filledAt: now, nextLoan: epoch << epochShift}
 	bucket.reserve = bucket.loanLimit()
 	bucket.reserveExpiresAt = now.Add(LoanTTL + clockDriftMargin)
 	return bucket
--- a/internal/dispatch/quota/quota_test.go
+++ b/internal/dispatch/quota/quota_test.go
@@ -27,7 +27,8 @@
 		now := time.Unix(1000, 0)
 		rate := float64(rapid.IntRange(1, 200).Draw(t, "rate"))
 		burst := float64(rapid.IntRange(1, 60).Draw(t, "burst"))
-		bucket := newBucket(rate, burst, now)
+		epoch := uint64(1)
+		bucket := newBucket(epoch, rate, burst, now)
 		borrowers := []*borrowerModel{{host: "a"}, {host: "b"}, {host: "c"}}
 		var log []spentToken
 		for range rapid.IntRange(10, 300).Draw(t, "steps") {
@@ -56,7 +57,8 @@
 					borrower.loans = nil
 				}
 			default:
-				bucket = newBucket(rate, burst, now) // another host takes over
+				epoch++
+				bucket = newBucket(epoch, rate, burst, now) // another host takes over
 			}
 		}
 		checkWindows(t, log, rate, burst)
@@ -102,7 +104,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Unix(1000, 0)
-			bucket := newBucket(test.rate, test.burst, now)
+			bucket := newBucket(1, test.rate, test.burst, now)
 			now = now.Add(2 * time.Second)
 			refused := 0
 			for range 500 {
@@ -124,7 +126,7 @@
 func TestTakeoverStartsEmpty(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	bucket := newBucket(10, 20, now)
+	bucket := newBucket(1, 10, 20, now)
 	granted, wait := bucket.lend("a", 5, now)
 	is.Equal(granted.unspent, 0.0)
 	is.True(wait > 0)
@@ -135,7 +137,7 @@
 func TestRateChangeAppliesImmediately(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	bucket := newBucket(100, 100, now)
+	bucket := newBucket(1, 100, 100, now)
 	now = now.Add(10 * time.Second)
 	bucket.advance(now)
 	bucket.setRate(1, 2, now)
