Do not refill a rate's bucket for the time that its tokens were lent

What callers see: a workspace may spend more than its rate and burst allow, at most the rate times 0.27 s. DESIGN.md promises that no window holds more.

Cause: the level and the loans together stay within the burst. But advance dropped the loans that had expired since the last call, and then refilled for all the time since then under the limit without them. A token that is spent just before its loan expires was followed by one that had accrued while it was still out.

Change: the bucket is refilled up to each expiry before that loan is dropped.

--- a/internal/dispatch/quota/bucket.go
+++ b/internal/dispatch/quota/bucket.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -75,19 +76,24 @@
 	return total
 }
 
-// advance drops expired and spent loans and refills the bucket.
+// advance refills the bucket, and drops spent loans and those that have expired.
+// Loans are ordered by expiry, and each one limits the level until it expires.
 func (bucket *bucket) advance(now time.Time) {
-	if !now.Before(bucket.reserveExpiresAt) {
+	if bucket.reserve > 0 && !now.Before(bucket.reserveExpiresAt) {
+		bucket.refill(bucket.reserveExpiresAt)
 		bucket.reserve = 0
 	}
-	var active []loan
-	for _, loan := range bucket.loans {
-		if now.Before(loan.expiresAt) && loan.unspent > 0 {
-			active = append(active, loan)
-		}
+	bucket.loans = slices.DeleteFunc(bucket.loans, func(loan loan) bool { return loan.unspent <= 0 })
+	for len(bucket.loans) > 0 && !now.Before(bucket.loans[0].expiresAt) {
+		bucket.refill(bucket.loans[0].expiresAt)
+		bucket.loans = bucket.loans[1:]
 	}
-	bucket.loans = active
-	gained := bucket.perSecond * now.Sub(bucket.filledAt).Seconds()
+	bucket.refill(now)
+}
+
+// refill refills the bucket for the time up to now, in which the loans did not change.
+func (bucket *bucket) refill(now time.Time) {
+	gained := bucket.perSecond * max(0, now.Sub(bucket.filledAt).Seconds())
 	bucket.filledAt = now
 	bucket.level = max(0, min(bucket.level+gained, bucket.burst-bucket.outstanding()))
 }
--- a/internal/dispatch/quota/quota_test.go
+++ b/internal/dispatch/quota/quota_test.go
@@ -134,6 +134,24 @@
 	is.Equal(granted.unspent, 10.0) // half of the burst may be lent
 }
 
+// TestLoanedTimeIsNotRefilled lets the whole burst be out on loan until the loan expires,
+// spent but not reported. The bucket refilled for that time as soon as the loan had
+// expired, so the burst could be spent twice within 20 ms.
+func TestLoanedTimeIsNotRefilled(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	bucket := newBucket(1, 10, 1, now)
+	now = now.Add(time.Second)
+	granted, _ := bucket.lend("a", 1, now)
+	is.Equal(granted.unspent, 1.0)
+	now = granted.expiresAt
+	granted, _ = bucket.lend("b", 1, now)
+	is.Equal(granted.unspent, 0.0) // the first token may have been spent just now
+	now = now.Add(100 * time.Millisecond)
+	granted, _ = bucket.lend("b", 1, now)
+	is.Equal(granted.unspent, 1.0)
+}
+
 func TestRateChangeAppliesImmediately(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
