Refill rate buckets by what was lendable at each time

What callers see: a workspace with a large burst may be served beyond its limit in 5 s (rule QUOTA) after a host that carries most of its requests was cut off from the control leader for some seconds and is back.

Cause: a bucket is refilled when it is next used, for all the time since its last use, at the fraction of the rate that is lendable now. A host that was cut off used its share in that time; as soon as it was back, or its share had expired, or it was removed, the fraction counted as lendable for the past too.

Change: the time since the last use is divided where shares expire, and all buckets are refilled before contact with a silent host is recorded, a host is removed, or the shares of earlier leaders count as known.

--- a/internal/rates/share/allocator.go
+++ b/internal/rates/share/allocator.go
@@ -111,7 +111,29 @@
 }
 
 // RemoveHost removes a host whose shares have expired.
-func (allocator *Allocator) RemoveHost(host string) { delete(allocator.hosts, host) }
+func (allocator *Allocator) RemoveHost(host string) {
+	if hoststate, known := allocator.hosts[host]; known {
+		for _, grant := range hoststate.grants {
+			allocator.refillAll(grant.until)
+		}
+		delete(allocator.hosts, host)
+	}
+}
+
+// reachable reports whether the host was in contact recently enough not to use its
+// shares.
+func (hoststate *hostState) reachable(now time.Time) bool {
+	return now.Sub(hoststate.lastContact) < LeaderTimeout
+}
+
+// recordContact records that the host is reachable. Buckets are refilled before, since
+// it may have been using its shares until now.
+func (allocator *Allocator) recordContact(now time.Time, hoststate *hostState) {
+	if !hoststate.reachable(now) {
+		allocator.refillAll(now)
+	}
+	hoststate.lastContact = now
+}
 
 // Grant processes a host's report. The hosts are all entry hosts that may have
 // shares from an earlier leader.
@@ -131,7 +153,7 @@
 		}
 	}
 	hoststate.demand = report.Demand
-	hoststate.lastContact = now
+	allocator.recordContact(now, hoststate)
 	hoststate.dropSuperseded(report.Got, now)
 	current := hoststate.acknowledged(report.Got)
 	allocator.lastNumber++
@@ -215,6 +237,7 @@
 		}
 	}
 	if !allocator.allKnown {
+		allocator.refillAll(now)
 		allocator.allKnown, allocator.allRestarted = true, allocator.noSharesInUse(now)
 	}
 	return true
--- a/internal/rates/share/bucket.go
+++ b/internal/rates/share/bucket.go
@@ -32,6 +32,7 @@
 
 // bucket is the token bucket of one workspace.
 type bucket struct {
+	rate       Rate
 	tokens     float64
 	refilledAt time.Time
 }
@@ -67,25 +68,64 @@
 		}
 		allocator.buckets[workspace] = found
 	}
-	passed := now.Sub(found.refilledAt).Seconds()
-	found.refilledAt = now
-	found.tokens = min(max(rate.Burst, 1), found.tokens+passed*rate.PerSecond*allocator.lendable(now, workspace))
+	found.rate = rate
+	allocator.refill(now, workspace, found)
 	return found
 }
 
-// lendable returns the fraction of the rate that no unreachable host may be using
-// as its share. While shares of an earlier leader may be unknown, only the shares of
-// reachable hosts are lendable.
-func (allocator *Allocator) lendable(now time.Time, workspace string) float64 {
+// refill refills a bucket up to now, at the fraction of the rate that was lendable at
+// each time.
+func (allocator *Allocator) refill(now time.Time, workspace string, bucket *bucket) {
+	for bucket.refilledAt.Before(now) {
+		until := allocator.nextExpiry(bucket.refilledAt, now)
+		passed := until.Sub(bucket.refilledAt).Seconds()
+		gained := passed * bucket.rate.PerSecond * allocator.lendable(bucket.refilledAt, now, workspace)
+		bucket.tokens = min(max(bucket.rate.Burst, 1), bucket.tokens+gained)
+		bucket.refilledAt = until
+	}
+}
+
+// refillAll refills all buckets. It is called before a change of what hosts are known
+// to use, since a bucket is refilled by what is known at that time.
+func (allocator *Allocator) refillAll(now time.Time) {
+	for workspace, bucket := range allocator.buckets {
+		allocator.refill(now, workspace, bucket)
+	}
+}
+
+// nextExpiry returns the earliest time between the two at which shares of unreachable
+// hosts or of an earlier leader expire, or now if none do.
+func (allocator *Allocator) nextExpiry(since, now time.Time) time.Time {
+	next := now
+	if since.Before(allocator.inheritedUntil) && allocator.inheritedUntil.Before(next) {
+		next = allocator.inheritedUntil
+	}
+	for _, hoststate := range allocator.hosts {
+		if hoststate.reachable(now) {
+			continue
+		}
+		for _, grant := range hoststate.grants {
+			if since.Before(grant.until) && grant.until.Before(next) {
+				next = grant.until
+			}
+		}
+	}
+	return next
+}
+
+// lendable returns the fraction of the rate that no host that is unreachable now may
+// have been using as its share at the given time. While shares of an earlier leader
+// may be unknown, only the shares of reachable hosts are lendable.
+func (allocator *Allocator) lendable(at, now time.Time, workspace string) float64 {
 	reachable, unreachable := 0.0, 0.0
 	for _, hoststate := range allocator.hosts {
-		if now.Sub(hoststate.lastContact) < LeaderTimeout {
-			reachable += hoststate.maxInUse(workspace, now)
+		if hoststate.reachable(now) {
+			reachable += hoststate.maxInUse(workspace, at)
 		} else {
-			unreachable += hoststate.maxInUse(workspace, now)
+			unreachable += hoststate.maxInUse(workspace, at)
 		}
 	}
-	if now.Before(allocator.inheritedUntil) && !allocator.allKnown {
+	if at.Before(allocator.inheritedUntil) && !allocator.allKnown {
 		return min(1, reachable)
 	}
 	return max(0, 1-unreachable)
@@ -93,10 +133,10 @@
 
 // Lend lends up to the wanted number of tokens to a host.
 func (allocator *Allocator) Lend(now time.Time, host, workspace string, wanted float64, rate Rate) Loan {
-	bucket := allocator.bucket(now, workspace, rate)
 	if hoststate, known := allocator.hosts[host]; known {
-		hoststate.lastContact = now
+		allocator.recordContact(now, hoststate)
 	}
+	bucket := allocator.bucket(now, workspace, rate)
 	if bucket.tokens < 1 {
 		return Loan{Wait: allocator.backoff(bucket, workspace, rate)}
 	}
--- a/internal/rates/share/share_test.go
+++ b/internal/rates/share/share_test.go
@@ -188,3 +188,87 @@
 	}
 	is.Equal(refused, 0)
 }
+
+// admittedWithCut floods one host, which holds most of the rate, cuts it off from the
+// leader for the duration, and returns the most requests admitted in 5 s. No other
+// host asks for tokens meanwhile, so the bucket is not refilled until the cut ends.
+func admittedWithCut(rate Rate, cut time.Duration) int {
+	cluster := newCluster(4, rate)
+	step := func(rounds int) {
+		for round := range rounds {
+			cluster.now = cluster.now.Add(20 * time.Millisecond)
+			for number := range cluster.hosts {
+				if round%20 == number {
+					cluster.poll(number, false)
+				}
+			}
+			for range 20 {
+				cluster.request(0)
+			}
+		}
+	}
+	const second = 50
+	step(10 * second) // the host's share grows to most of the rate
+	cluster.now = cluster.now.Add(10 * time.Second)
+	for number := range cluster.hosts {
+		cluster.poll(number, false)
+	}
+	step(second) // spends the burst
+	cluster.unreachable[0] = true
+	step(int(cut.Seconds() * second))
+	cluster.unreachable[0] = false
+	step(5 * second)
+	return cluster.maxAdmitted(5 * time.Second)
+}
+
+// TestCutHostsShareIsNotRefilled cuts a host off that goes on with its share of the rate.
+// The leader refilled the bucket for that time as if the share had not been in use: as
+// soon as the host was back, or when its share had expired.
+func TestCutHostsShareIsNotRefilled(t *testing.T) {
+	for _, cut := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 7 * time.Second} {
+		t.Run(cut.String(), func(t *testing.T) {
+			rate := Rate{PerSecond: 60, Burst: 240}
+			limit := (rate.PerSecond*5+rate.Burst)*1.1 + 20
+			if most := admittedWithCut(rate, cut); float64(most) > limit {
+				t.Fatalf("%d requests were admitted in 5 s, the limit is %.0f", most, limit)
+			}
+		})
+	}
+}
+
+// TestSilentHostsShareIsNotRefilled empties a bucket and leaves it alone while a host
+// that holds a share is silent. The time in which the host may have used its share was
+// refilled in full once the share had expired or the host was removed.
+func TestSilentHostsShareIsNotRefilled(t *testing.T) {
+	rate := Rate{PerSecond: 100, Burst: 1000}
+	rates := map[string]Rate{"w": rate}
+	for _, test := range []struct {
+		name    string
+		silence time.Duration
+		end     func(allocator *Allocator, now time.Time)
+	}{
+		{"in use", 4 * time.Second, func(*Allocator, time.Time) {}},
+		{"expired", 6 * time.Second, func(*Allocator, time.Time) {}},
+		{"reported again", 6 * time.Second, func(allocator *Allocator, now time.Time) {
+			allocator.Grant(now, Report{Host: "a"}, []string{"a", "b"}, rates)
+		}},
+		{"asked for tokens", 6 * time.Second, func(allocator *Allocator, now time.Time) { allocator.Lend(now, "a", "other", 1, rate) }},
+		{"removed", 7 * time.Second, func(allocator *Allocator, _ time.Time) { allocator.RemoveHost("a") }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			allocator := &Allocator{}
+			allocator.Reset(now.Add(-ShareTerm), 1)
+			allocator.Grant(now, Report{Host: "b"}, []string{"a", "b"}, rates)
+			grant := allocator.Grant(now, Report{Host: "a", Demand: map[string]float64{"w": 1000}}, []string{"a", "b"}, rates)
+			share := grant.Parts["w"]
+			is.True(share >= 0.5)
+			allocator.bucket(now, "w", rate).tokens = 0
+			now = now.Add(test.silence)
+			test.end(allocator, now)
+			inUse := min(test.silence, ShareTerm).Seconds() * share
+			is.True(allocator.bucket(now, "w", rate).tokens <= rate.PerSecond*(test.silence.Seconds()-inUse)+1)
+		})
+	}
+}
