Show that a session about to be closed is renewed

What callers see: two primaries of an upstream or service, or two allocators of a rate, for up to 400 ms, less once the host's catalog shows the closing.

Cause: the planner finds that a session's lease has expired and proposes to close the session. A heartbeat that arrives before the commit, as from a host whose pause ends just then, renews the lease and is acknowledged. The closing goes through, since it names the session's epoch alone, and the next commands give its shards away.

Evidence: TestSessionToBeClosedIsNotRenewed fails in every run: the host's lease is valid while others hold its shards.

Ruled out: a renewal after the closing is applied, which the table refuses.

--- a/internal/control/plan/plan_test.go
+++ b/internal/control/plan/plan_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/lease"
 	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/peer/trust"
 )
 
 // fleet is a state machine that applies decisions, with immediate releases.
@@ -279,6 +283,58 @@
 	}
 }
 
+// leader is a control host that leads the fleet from the start.
+type leader struct {
+	fleet *fleet
+	since time.Time
+}
+
+func (leader *leader) HoldsLease() bool { return true }
+
+func (leader *leader) Status() group.Status {
+	return group.Status{Term: 1, LeaderSince: leader.since}
+}
+
+func (leader *leader) Catalog() *state.Catalog { return leader.fleet.machine.Catalog }
+
+// TestSessionToBeClosedIsNotRenewed lets the heartbeat of a paused host arrive after its
+// session was found to have expired and before the session is closed. The heartbeat
+// renews the lease, so the host goes on as the holder of shards that others get.
+func TestSessionToBeClosedIsNotRenewed(t *testing.T) {
+	is := is.New(t)
+	fleet := startFleet(t, spec.RoutingBoundedLoadSticky, 3, 4)
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	secret := trust.Secret("the fleet's secret")
+	table := lease.NewTable(secret, clock, &leader{fleet: fleet, since: clock.Now()})
+	table.Update()
+	catalog := fleet.machine.Catalog // what the hosts know
+	var holders []*lease.Holder
+	for number := range 3 {
+		holders = append(holders, lease.NewHolder(secret, clock, fmt.Sprintf("h%d", number), 0, func() *state.Catalog { return catalog }))
+	}
+	heartbeat := func(holder *lease.Holder) {
+		if answer := table.HandleHeartbeat(holder.NextHeartbeat()); answer != nil {
+			holder.HandleAck(netip.MustParseAddrPort("127.0.0.1:7402"), answer)
+		}
+	}
+	for range 20 { // h0 is paused, and its lease expires
+		clock.Advance(lease.HeartbeatInterval)
+		heartbeat(holders[1])
+		heartbeat(holders[2])
+	}
+	closing := Decide(Input{Catalog: fleet.machine.Catalog, Expired: table.Expired})
+	is.Equal(closing, []state.Command{state.CloseSession{Host: "h0", Epoch: catalog.Sessions["h0"].Epoch}})
+	heartbeat(holders[0])
+	for _, command := range closing {
+		fleet.apply(command)
+	}
+	fleet.converge(t)
+	for _, shard := range fleet.machine.Catalog.Shards {
+		is.True(shard.Host != "h0")
+	}
+	is.True(!holders[0].Valid()) // other hosts hold its shards
+}
+
 // TestEverythingAssigned removes and adds hosts and upstreams at random. Decisions
 // must converge, and while there is an upstream and a host, every partition has a
 // live owner and every shard a live holder.
