Give a key its own slot when it is moved to its present owner

What callers see: `damaskcrank move` to the upstream that owns the key's partition fails after 5 s with "the key has not moved yet", and the key goes away with its partition later on.

Cause: Catalog.moveSlots skipped every move to the present owner. For a key with no slot of its own that left nothing changed, and admin.moveKey waits for such a slot.

Evidence: five of the six cases of state.TestMoveOfKeyToItsOwner, and admin.TestMoveOfKeyToItsOwner (503 in place of 200), failed before. The command has not been run against a running fleet with this change.

Change: such a key is split off with its partition's owner and token, as it is before a move to another upstream. The token stays because the owner does; requests for the key are refused as moving until the owner has confirmed the grant that names it.

A move to the present owner while the partition is moving away is still skipped.

--- a/internal/control/state/fleet.go
+++ b/internal/control/state/fleet.go
@@ -173,7 +173,8 @@
 }
 
 // moveSlots assigns slots without an owner and marks the others as moving. A key
-// that has no slot of its own is split off with its partition's owner.
+// that has no slot of its own is split off with its partition's owner, also if that is
+// the upstream that it shall have.
 func (catalog *Catalog) moveSlots(index uint64, command MoveSlots) {
 	table, ok := catalog.Tables[command.Service]
 	if !ok {
@@ -182,7 +183,8 @@
 	table = table.clone()
 	for _, move := range command.Moves {
 		owner, ok := table.Get(move.Slot)
-		if !ok && move.Slot.Key != "" && move.Token == 0 {
+		split := !ok && move.Slot.Key != "" && move.Token == 0
+		if split {
 			_, owner = table.Find(move.Slot.Key)
 			if owner.MovingTo != "" {
 				continue
@@ -192,15 +194,16 @@
 			continue
 		}
 		_, exists := catalog.Upstreams[UpstreamID{Service: command.Service, Name: move.To}]
-		if !ok || !exists || owner.Upstream == move.To {
-			continue
-		}
-		if owner.Upstream == "" {
+		switch {
+		case !ok || !exists || owner.Upstream == move.To && !split:
+		case owner.Upstream == "":
 			table.set(move.Slot, Owner{Upstream: move.To, Token: index})
-			continue
+		case owner.Upstream == move.To:
+			table.set(move.Slot, owner)
+		default:
+			owner.MovingTo = move.To
+			table.set(move.Slot, owner)
 		}
-		owner.MovingTo = move.To
-		table.set(move.Slot, owner)
 	}
 	catalog.Tables = with(catalog.Tables, command.Service, table)
 }
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -177,6 +177,38 @@
 	}
 }
 
+// TestMoveOfKeyToItsOwner gives a key to the upstream that owns its partition. The move was
+// skipped, so the key got no slot of its own, and left the upstream with its partition.
+func TestMoveOfKeyToItsOwner(t *testing.T) {
+	key := Slot{Key: "van-7"}
+	split := MoveSlots{Service: "s", Moves: []SlotMove{{Slot: key, To: "u0"}}}
+	toU1 := MoveSlots{Service: "s", Moves: []SlotMove{{Token: 7, To: "u1"}}}
+	release := ReleaseSlots{Service: "s", Shard: DispatchShard("s", "u0"), ShardEpoch: 6, Releases: []SlotRelease{{Token: 7}}}
+	lost := RemoveUpstream{ID: UpstreamID{"s", "u0"}, Epoch: 4, Shard: release.Shard, ShardEpoch: 6}
+	for _, test := range []struct {
+		name     string
+		commands []Command
+		owner    Owner
+		own      bool
+	}{
+		{"once", []Command{split}, Owner{Upstream: "u0", Token: 7}, true},
+		{"twice", []Command{split, split}, Owner{Upstream: "u0", Token: 7}, true},
+		{"then the partition moves", []Command{split, toU1, release}, Owner{Upstream: "u0", Token: 7}, true},
+		{"then the key moves", []Command{split, MoveSlots{Service: "s", Moves: []SlotMove{{Slot: key, Token: 7, To: "u1"}}}}, Owner{Upstream: "u0", Token: 7, MovingTo: "u1"}, true},
+		{"then the owner is lost", []Command{split, lost}, Owner{Token: 9}, true},
+		{"while the partition moves", []Command{toU1, split}, Owner{Upstream: "u0", Token: 7, MovingTo: "u1"}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			machine := newMachineWithSlot(t)
+			applyAll(machine, test.commands...)
+			slot, owner := machine.Catalog.Tables["s"].Find(key.Key)
+			is.Equal(owner, test.owner)
+			is.Equal(slot == key, test.own)
+		})
+	}
+}
+
 // TestShardMoves checks that a shard changes its holder only when it is released
 // or its session is closed. A release that arrives again, after the shard has come
 // back to the same session, must not take the shard from its holder.
--- a/internal/oper/admin/admin_test.go
+++ b/internal/oper/admin/admin_test.go
@@ -20,6 +20,7 @@
 	"damaskcrank.example/damaskcrank/internal/base/conf"
 	"damaskcrank.example/damaskcrank/internal/base/stats"
 	"damaskcrank.example/damaskcrank/internal/control/group"
+	"damaskcrank.example/damaskcrank/internal/control/spec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/shard"
 	"damaskcrank.example/damaskcrank/internal/dispatch/upstr"
@@ -166,6 +167,30 @@
 	return recorder.Code
 }
 
+// TestMoveOfKeyToItsOwner gives a key to the upstream that owns its partition. The
+// command waited for a slot that the key never got, and failed after its timeout.
+func TestMoveOfKeyToItsOwner(t *testing.T) {
+	is := is.New(t)
+	fleet, admin, clock := newAdmin()
+	records, err := spec.ParseDocument([]byte("[[service]]\nname = \"s\"\nschema = 1\nversion = 1\npartitions = 1\n"), spec.FormatTOML)
+	is.NoErr(err)
+	for _, command := range []state.Command{
+		state.ApplyRecords{Records: records, At: clock.Now()},
+		state.RegisterUpstream{Upstream: state.Upstream{ID: state.UpstreamID{Service: "s", Name: "u0"}, Slots: 2}},
+		state.MoveSlots{Service: "s", Moves: []state.SlotMove{{To: "u0"}}},
+	} {
+		_, err := fleet.Propose(t.Context(), command)
+		is.NoErr(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // a key that is in place is answered without a wait
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/api/v1/moves", strings.NewReader(`{"service":"s","key":"van-7","to":"u0"}`))
+	request.Header.Set("Authorization", "Bearer token")
+	recorder := httptest.NewRecorder()
+	admin.Handler().ServeHTTP(recorder, request)
+	is.Equal(recorder.Code, http.StatusOK)
+}
+
 // TestAnnouncements checks that valid announcements are accepted and invalid ones
 // rejected, that only changes are committed, and that a lost upstream is
 // readmitted only after a delay.
