Check the drain deadline when a permit for a key arrives

Cause: a host looks up the key's owner, asks the owner's primary for a permit and may wait there. The primary judges draining by its own catalog, which may be old if it is cut off from the control hosts. For requests without a key the host checks the upstream again when the permit comes; for those with a key it checked nothing, though the drain deadline may have passed while they waited.

Ruled out: a host's own scheduler, which checks the deadline on each dispatch.

Change: a permit that comes after the host's own drain deadline for the upstream is released, and the request waits for the key's next owner.

--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -459,12 +459,16 @@
 		}
 		permit.number = granted.Number
 		permit.startedAt = permit.client.clock.Now()
+		// The primary may be partitioned off and may have an older catalog than this
+		// host.
 		target, known := permit.client.local.Target(permit.job.Service, spans.Owner{ID: granted.ID, Born: granted.Born})
-		if !known || target.Draining && !permit.job.Keyed {
-			// The primary may be partitioned off and may have an older catalog than this
-			// host.
+		switch {
+		case !known || target.Draining && !permit.job.Keyed:
 			permit.Release(admit.ResultLeft, nil)
 			return nil, nil, Error.New("the permit is for upstream %s, which is unknown or draining", granted.ID)
+		case target.Draining && permit.startedAt.After(target.DrainDeadline):
+			permit.Release(admit.ResultLeft, nil)
+			return nil, nil, errOwnerChanged
 		}
 		permit.Target = target
 		return permit, nil, nil
--- a/internal/dispatch/permit/permit_test.go
+++ b/internal/dispatch/permit/permit_test.go
@@ -246,6 +246,51 @@
 	is.Equal(permit.Target.Owner.ID, "other")
 }
 
+// TestPermitAfterDrainDeadline grants a permit to a request that has waited at a primary
+// with an older catalog while its own host's DrainDeadline for the upstream has passed.
+// The request was sent to the draining upstream; it must wait for the key's next owner.
+func TestPermitAfterDrainDeadline(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	primary := fleet.primaryOf(t)
+	requester := 1 - primary
+	var permits []*Permit
+	for range 3 { // the upstream's slots and its queue
+		permit, refusal := fleet.clients[primary].Acquire(t.Context(), fleet.newJob())
+		is.Equal(refusal, nil)
+		permits = append(permits, permit)
+	}
+	draining, next := fleet.target, fleet.target
+	draining.Draining, draining.DrainDeadline = true, fleet.clock.Now().Add(100*time.Millisecond)
+	next.Owner.ID = "next"
+	table, err := spans.Table{}.Apply(1, []spans.Change{{From: 0, To: spans.MaxKey, Owner: draining.Owner}})
+	is.NoErr(err)
+	fleet.schedulers[requester].Update(serviceName, []admit.Target{draining, next}, table)
+	fleet.network.released = make(chan doneMessage, 1)
+	results := make(chan *Permit, 1)
+	go func() {
+		permit, _ := fleet.clients[requester].Acquire(t.Context(), fleet.newJob())
+		results <- permit
+	}()
+	// The waiting request blocks on two timers: its deadline and its periodic check.
+	is.NoErr(fleet.clock.BlockUntilContext(t.Context(), 2))
+	fleet.clock.Advance(200 * time.Millisecond)
+	permits[0].Release(admit.ResultAnswered, nil)
+	select {
+	case permit := <-results:
+		t.Fatalf("the request was sent to %s", permit.Target.Owner.ID)
+	case done := <-fleet.network.released:
+		is.Equal(done.Result, admit.ResultLeft)
+	}
+	moved, err := table.Apply(2, []spans.Change{{From: 0, To: spans.MaxKey, Owner: next.Owner}})
+	is.NoErr(err)
+	for _, client := range fleet.clients {
+		client.localPrimary.scheduler.Update(serviceName, []admit.Target{draining, next}, moved)
+	}
+	fleet.schedulers[requester].Update(serviceName, []admit.Target{draining, next}, moved)
+	is.Equal((<-results).Target.Owner, next.Owner)
+}
+
 // TestDrainingHostIsNoPrimary checks that a draining host is not chosen as primary.
 func TestDrainingHostIsNoPrimary(t *testing.T) {
 	is := is.New(t)
