Show that lost answers count as contact with the leader

What callers see: a workspace may be served beyond its limit (rule QUOTA) while the link from the control leader to an entry host is congested and the other direction is not.

Cause: leader and host each judge their contact by what they receive. A host that gets no answer for 0.8 s uses its share of the rate; the leader, which gets its reports, counts it as reachable and lends the whole rate.

Ruled out: single lost answers, which TestRateIsNotExceeded covers.

--- a/internal/rates/share/share_test.go
+++ b/internal/rates/share/share_test.go
@@ -272,3 +272,35 @@
 		})
 	}
 }
+
+// TestLostAnswersAreNoContact loses all answers of the leader to one host, whose reports
+// and requests for tokens still arrive, as on a link that is congested in one direction.
+// The host uses its share, which the leader lends to the others all the same.
+func TestLostAnswersAreNoContact(t *testing.T) {
+	cluster := newCluster(2, Rate{PerSecond: 100, Burst: 20})
+	answersLost := false
+	borrow := cluster.limiters[0].Borrow
+	cluster.limiters[0].Borrow = func(ctx context.Context, workspace string, wanted float64) (Loan, error) {
+		loan, err := borrow(ctx, workspace, wanted)
+		if answersLost {
+			return Loan{}, errLost
+		}
+		return loan, err
+	}
+	for round := range 500 {
+		cluster.now = cluster.now.Add(20 * time.Millisecond)
+		answersLost = round >= 250
+		for number := range cluster.hosts {
+			if round%20 == number {
+				cluster.poll(number, answersLost && number == 0)
+			}
+			for range 10 {
+				cluster.request(number)
+			}
+		}
+	}
+	limit := (cluster.rate.PerSecond*5+cluster.rate.Burst)*1.1 + 20
+	if most := cluster.maxAdmitted(5 * time.Second); float64(most) > limit {
+		t.Fatalf("%d requests were admitted in 5 s, the limit is %.0f", most, limit)
+	}
+}
