--- a/internal/control/state/fleet.go
+++ b/internal/control/state/fleet.go
@@ -62,12 +62,13 @@
 }
 
 // releaseShards assigns released shards to the hosts that they are moving to, and
-// frees those without such a host.
+// frees those without such a host. A release may be proposed twice, and by then the
+// session may hold the shard anew under another epoch.
 func (catalog *Catalog) releaseShards(index uint64, command ReleaseShards) {
 	shards := maps.Clone(catalog.Shards)
 	for _, id := range command.Shards {
 		shard, ok := shards[id]
-		if !ok || shard.Session != command.Session {
+		if !ok || shard.Session != command.Session || command.Epoch != 0 && shard.Epoch != command.Epoch {
 			continue
 		}
 		next := Shard{Epoch: index}
@@ -172,7 +173,8 @@
 }
 
 // moveSlots assigns slots without an owner and marks the others as moving. A key
-// that has no slot of its own is split off with its partition's owner.
+// that has no slot of its own is split off with its partition's owner, also if that is
+// the upstream that it shall have.
 func (catalog *Catalog) moveSlots(index uint64, command MoveSlots) {
 	table, ok := catalog.Tables[command.Service]
 	if !ok {
@@ -181,7 +183,8 @@
 	table = table.clone()
 	for _, move := range command.Moves {
 		owner, ok := table.Get(move.Slot)
-		if !ok && move.Slot.Key != "" && move.Token == 0 {
+		split := !ok && move.Slot.Key != "" && move.Token == 0
+		if split {
 			_, owner = table.Find(move.Slot.Key)
 			if owner.MovingTo != "" {
 				continue
@@ -191,15 +194,16 @@
 			continue
 		}
 		_, exists := catalog.Upstreams[UpstreamID{Service: command.Service, Name: move.To}]
-		if !ok || !exists || owner.Upstream == move.To {
-			continue
-		}
-		if owner.Upstream == "" {
+		switch {
+		case !ok || !exists || owner.Upstream == move.To && !split:
+		case owner.Upstream == "":
 			table.set(move.Slot, Owner{Upstream: move.To, Token: index})
-			continue
+		case owner.Upstream == move.To:
+			table.set(move.Slot, owner)
+		default:
+			owner.MovingTo = move.To
+			table.set(move.Slot, owner)
 		}
-		owner.MovingTo = move.To
-		table.set(move.Slot, owner)
 	}
 	catalog.Tables = with(catalog.Tables, command.Service, table)
 }
--- a/internal/dispatch/quota/bucket.go
+++ b/internal/dispatch/quota/bucket.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -21,6 +22,9 @@
 	// maxLoanFraction is the fraction of the burst that may be on loan at any time, so
 	// that a new allocator knows how much the previous one may have lent.
 	maxLoanFraction = 0.5
+	// epochShift is the number of low bits in a loan's ID that count the loans of one
+	// allocator. The other bits are the epoch of its shard.
+	epochShift = 32
 )
 
 // loan is a batch of tokens that was lent to a host's limiter.
@@ -49,9 +53,10 @@
 }
 
 // newBucket returns an empty bucket, since a previous allocator may just have lent
-// tokens.
-func newBucket(perSecond, burst float64, now time.Time) *bucket {
-	bucket := &bucket{perSecond: perSecond, burst: burst, filledAt: now}
+// tokens. The IDs of its loans begin with the epoch of the allocator's shard: late
+// reports on the previous allocator's loans must match none of them.
+func newBucket(epoch uint64, perSecond, burst float64, now time.Time) *bucket {
+	bucket := &bucket{perSecond: perSecond, burst: burst, filledAt: now, nextLoan: epoch << epochShift}
 	bucket.reserve = bucket.loanLimit()
 	bucket.reserveExpiresAt = now.Add(LoanTTL + clockDriftMargin)
 	return bucket
@@ -71,19 +76,24 @@
 	return total
 }
 
-// advance drops expired and spent loans and refills the bucket.
+// advance refills the bucket, and drops spent loans and those that have expired.
+// Loans are ordered by expiry, and each one limits the level until it expires.
 func (bucket *bucket) advance(now time.Time) {
-	if !now.Before(bucket.reserveExpiresAt) {
+	if bucket.reserve > 0 && !now.Before(bucket.reserveExpiresAt) {
+		bucket.refill(bucket.reserveExpiresAt)
 		bucket.reserve = 0
 	}
-	var active []loan
-	for _, loan := range bucket.loans {
-		if now.Before(loan.expiresAt) && loan.unspent > 0 {
-			active = append(active, loan)
-		}
+	bucket.loans = slices.DeleteFunc(bucket.loans, func(loan loan) bool { return loan.unspent <= 0 })
+	for len(bucket.loans) > 0 && !now.Before(bucket.loans[0].expiresAt) {
+		bucket.refill(bucket.loans[0].expiresAt)
+		bucket.loans = bucket.loans[1:]
 	}
-	bucket.loans = active
-	gained := bucket.perSecond * now.Sub(bucket.filledAt).Seconds()
+	bucket.refill(now)
+}
+
+// refill refills the bucket for the time up to now, in which the loans did not change.
+func (bucket *bucket) refill(now time.Time) {
+	gained := bucket.perSecond * max(0, now.Sub(bucket.filledAt).Seconds())
 	bucket.filledAt = now
 	bucket.level = max(0, min(bucket.level+gained, bucket.burst-bucket.outstanding()))
 }
--- a/internal/dispatch/shard/once_test.go
+++ b/internal/dispatch/shard/once_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -148,6 +150,29 @@
 	is.Equal(count[state.DropRequest](harness.control), 1)
 }
 
+// TestGrantEndsBeforeSend lets the upstream's grant expire while a write is entered in
+// the ledger. The upstream's keys may have another owner by then, so the write must
+// not be sent to it.
+func TestGrantEndsBeforeSend(t *testing.T) {
+	for _, service := range []string{keyedService, unkeyedService} {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			harness := newHarness(t, service, 2)
+			harness.control.after = func(command state.Command) {
+				if _, ok := command.(state.BeginRequest); ok {
+					harness.clock.Advance(GrantTTL)
+				}
+			}
+			refusal, ok := harness.outcome(harness.submit(newRequest(service, http.MethodPost, "k"))).(calls.Refusal)
+			is.True(ok)
+			is.Equal(refusal.Reason, calls.ReasonKeyMoving)
+			is.Equal(refusal.Ran, calls.RanNot)
+			is.Equal(harness.upstreams.calls(), 0)
+			is.Equal(count[state.DropRequest](harness.control), 1)
+		})
+	}
+}
+
 // TestDuplicateWhileRunning submits a write again while the first one is running.
 // The duplicate must wait without occupying a slot and get the first one's answer.
 func TestDuplicateWhileRunning(t *testing.T) {
@@ -212,6 +237,95 @@
 	is.Equal(harness.upstreams.calls(), crashed) // no further upstream is crashed
 }
 
+// TestWaitingRequestIsQuarantined quarantines a request, by losses on other hosts, while
+// a copy of it waits for a slot. The copy passed the check on its arrival and was sent
+// all the same, to crash a third upstream.
+func TestWaitingRequestIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 1)
+	release := make(chan struct{})
+	harness.upstreams.send = func(context.Context, upstr.Call) upstr.Result {
+		<-release
+		return upstr.Response{Answer: state.Answer{Status: http.StatusOK}}
+	}
+	running := []*job{
+		harness.submit(newRequest(unkeyedService, http.MethodGet, "first")), harness.submit(newRequest(unkeyedService, http.MethodGet, "second")),
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	request.Target = "/crash"
+	request.SetFingerprint()
+	waiting := harness.submit(request)
+	for number := range state.QuarantineThreshold {
+		harness.control.commit(state.RecordSuspect{Fingerprint: request.Fingerprint, Upstream: fmt.Sprint(number), At: harness.clock.Now()})
+	}
+	close(release)
+	for _, job := range running {
+		harness.outcome(job)
+	}
+	refusal, ok := harness.outcome(waiting).(calls.Refusal)
+	is.True(ok)
+	is.Equal(refusal.Reason, calls.ReasonQuarantined)
+	is.Equal(refusal.Ran, calls.RanNot)
+	is.Equal(harness.upstreams.calls(), len(running))
+}
+
+// TestQuarantinedRequestIsNotHedged quarantines a slow read while it runs. The second
+// send of a hedge would have crashed one more upstream.
+func TestQuarantinedRequestIsNotHedged(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 2)
+	harness.shard.hedgeBudget = 5
+	for _, target := range harness.shard.targets {
+		target.ramp.RecordAnswer(harness.clock.Now(), 10*time.Millisecond, harness.clock.Now())
+	}
+	release := make(chan struct{})
+	harness.upstreams.send = func(context.Context, upstr.Call) upstr.Result {
+		<-release
+		return upstr.Response{Answer: state.Answer{Status: http.StatusOK}}
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	job := harness.submit(request)
+	for number := range state.QuarantineThreshold {
+		harness.control.commit(state.RecordSuspect{Fingerprint: request.Fingerprint, Upstream: fmt.Sprint(number), At: harness.clock.Now()})
+	}
+	harness.clock.Advance(time.Second / 10)
+	harness.shard.hedge(harness.clock.Now())
+	is.Equal(job.inFlight, 1)
+	close(release)
+	harness.outcome(job)
+}
+
+// TestQuarantineEndsWithTheCatalogs lets the catalog list and drop a request's quarantine
+// while no copy of the request arrives. The primary that had learned of the quarantine
+// from the result of its own report refused the request for as long as it ran.
+func TestQuarantineEndsWithTheCatalogs(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 4)
+	harness.upstreams.send = func(_ context.Context, call upstr.Call) upstr.Result {
+		harness.upstreams.kill(call.Address)
+		return upstr.Lost{Err: errInjected}
+	}
+	before := harness.control.catalog()
+	lagging := &atomic.Bool{}
+	lagging.Store(true)
+	harness.shard.env.Catalog = func() *state.Catalog {
+		if lagging.Load() {
+			return before
+		}
+		return harness.control.catalog()
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	harness.outcome(harness.submit(request))
+	again, ok := harness.outcome(harness.submit(request)).(calls.Refusal)
+	is.True(ok)
+	is.Equal(again.Reason, calls.ReasonQuarantined) // though this host's catalog does not list it yet
+	harness.control.commit(state.ClearSuspect{Fingerprint: request.Fingerprint})
+	lagging.Store(false)
+	harness.upstreams.send = nil
+	_, ok = harness.outcome(harness.submit(request)).(calls.Response)
+	is.True(ok)
+}
+
 // TestSuspectIsCleared retries a request that was running when an upstream was lost
 // for another reason. Once it has been answered, it must no longer be a suspect.
 func TestSuspectIsCleared(t *testing.T) {
