--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -79,11 +79,11 @@
 		if upstream.call != nil && upstream.call.operation != nil {
 			heard = upstream.call.operation.startedAt
 		}
-		simulation.step(10 * time.Millisecond)
+		simulation.step()
 	}
 	upstream.silentUntil = simulation.clock.Now().Add(time.Hour)
 	for simulation.clock.Now().Before(heard.Add(holdExpiry - before)) {
-		simulation.step(10 * time.Millisecond)
+		simulation.step()
 	}
 }
 
@@ -98,7 +98,7 @@
 		if owned() {
 			added.silentUntil = simulation.clock.Now().Add(time.Hour)
 		}
-		simulation.step(10 * time.Millisecond)
+		simulation.step()
 		if len(added.rows) > 0 {
 			panic("the upstream was told of its keys")
 		}
@@ -308,7 +308,7 @@
 		simulation := newIdleSimulation(1, 3)
 		upstream := simulation.upstreams[0]
 		for upstream.call != nil {
-			simulation.step(10 * time.Millisecond)
+			simulation.step()
 		}
 		upstream.instance.Slots++
 		earlier := simulation.send(upstream)
--- a/internal/control/steer/simulation_test.go
+++ b/internal/control/steer/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -128,11 +129,12 @@
 	return now
 }
 
-// pausingHandler pauses operations at each line that they log.
-type pausingHandler struct{ scheduler *scheduler }
+// pausingHandler notes each line that operations log, and pauses them there.
+type pausingHandler struct{ simulation *simulation }
 
 func (pausinghandler pausingHandler) HandleLog(entry *log.Entry) error {
-	pausinghandler.scheduler.pause("log " + entry.Message)
+	pausinghandler.simulation.note("%s %v", entry.Message, entry.Fields)
+	pausinghandler.simulation.scheduler.pause("log " + entry.Message)
 	return nil
 }
 
@@ -146,8 +148,10 @@
 // controlGroup is a control group of several members, of which one leads at most.
 type controlGroup struct {
 	members []*member
-	// leader is nil while no member holds the lease.
+	// leader is nil while no member leads, and lapsed is set while it leads without a
+	// lease.
 	leader *member
+	lapsed bool
 	term   uint64
 	// catalog is the result of all committed commands, and waiting are those not yet
 	// committed.
@@ -189,7 +193,7 @@
 		controlgroup.waiting = nil
 	}
 	controlgroup.term++
-	controlgroup.leader = member
+	controlgroup.leader, controlgroup.lapsed = member, false
 	delayed := controlgroup.delayed
 	controlgroup.delayed = true
 	controlgroup.commit()
@@ -267,7 +271,7 @@
 
 func (member *member) HoldsLease() bool {
 	member.scheduler.pause("before lease")
-	leads := member.leads()
+	leads := member.leads() && !member.group.lapsed
 	member.scheduler.pause("after lease")
 	return leads
 }
@@ -334,11 +338,22 @@
 	owner spans.Owner
 }
 
+// event is formatted only if a test fails.
+type event struct {
+	at     time.Time
+	format string
+	values []any
+}
+
 const (
 	// simulatedInterval is the time between two heartbeats of an upstream.
 	simulatedInterval = 870 * time.Millisecond
 	// answerTimeout is how long an upstream waits for the answer to a heartbeat.
 	answerTimeout = time.Second
+	// stepTime is the time that one step of the simulation takes.
+	stepTime = 10 * time.Millisecond
+	// maxTrace is the number of events that a failed test shows.
+	maxTrace = 60
 )
 
 // simulation is a control group and upstreams that exchange messages with it.
@@ -352,6 +367,8 @@
 	born      int64
 	// violation describes the first broken rule.
 	violation string
+	// events are the log lines and faults so far.
+	events    []event
 	tickEvery time.Duration
 	nextTick  time.Time
 	// schedule continues the operations in each step.
@@ -391,7 +408,7 @@
 
 // restartMember replaces a member's Coordinator by a new one.
 func (simulation *simulation) restartMember(member *member) {
-	logger := &log.Logger{Handler: pausingHandler{simulation.scheduler}, Level: log.DebugLevel}
+	logger := &log.Logger{Handler: pausingHandler{simulation}, Level: log.DebugLevel}
 	member.coordinator = New(member, pausingClock{simulation.clock, simulation.scheduler}, logger)
 }
 
@@ -423,15 +440,14 @@
 	simulation.scheduler.finishAll()
 }
 
-// run advances the simulation in steps of 10 ms.
 func (simulation *simulation) run(duration time.Duration) {
-	for range duration / (10 * time.Millisecond) {
-		simulation.step(10 * time.Millisecond)
+	for range duration / stepTime {
+		simulation.step()
 	}
 }
 
-func (simulation *simulation) step(duration time.Duration) {
-	simulation.advance(duration)
+func (simulation *simulation) step() {
+	simulation.advance(stepTime)
 	now := simulation.clock.Now()
 	simulation.deliver(now)
 	if !now.Before(simulation.nextTick) {
@@ -593,6 +609,7 @@
 		simulation.checkTaken(upstream, row.Hold)
 	}
 	upstream.rows = append(rows, wanted...)
+	simulation.note("%s received holds %v for heartbeat %d", upstream.instance.ID, call.answer.Holds, call.heartbeat.Sequence)
 	upstream.updateRows(now)
 	simulation.checkHolders(upstream)
 }
@@ -641,6 +658,19 @@
 	}
 }
 
+func (simulation *simulation) note(format string, values ...any) {
+	simulation.events = append(simulation.events, event{at: simulation.clock.Now(), format: format, values: values})
+}
+
+// trace returns the last events.
+func (simulation *simulation) trace() string {
+	var text strings.Builder
+	for _, event := range simulation.events[max(0, len(simulation.events)-maxTrace):] {
+		fmt.Fprintf(&text, "\n%v: %s", event.at.Sub(time.Unix(1000, 0)), fmt.Sprintf(event.format, event.values...))
+	}
+	return text.String()
+}
+
 // exchange sends an upstream's heartbeat and processes it and its answer at once. A
 // heartbeat that is on its way is lost.
 func (simulation *simulation) exchange(upstream *upstream) {
