--- a/internal/control/steer/release_test.go
+++ b/internal/control/steer/release_test.go
@@ -56,7 +56,7 @@
 			simulation := newIdleSimulation(2, 2)
 			upstream, other := simulation.upstreams[0], simulation.upstreams[1]
 			for upstream.call != nil || other.call != nil {
-				simulation.step(10 * time.Millisecond)
+				simulation.step()
 			}
 			late := test.late(simulation, upstream)
 			simulation.exchange(upstream)
