Keep a deregistered upstream draining when it is heard again

An upstream that has deregistered was removed as soon as nothing was heard of it for the time of a hold, which counts from the start of the term for one whose heartbeats don't reach the leader. The heartbeats of upstreams that leave this way go on to say ready, so that the next one that arrived registered the same process as a new one.

Ruled out: the drain deadline at entry hosts. They judged by the record that said ready.

Change: the leader remembers for its term which processes have deregistered and counts them as draining whatever they say; the record of one is removed only after the 20 s without a heartbeat that hold for all, so a later leader finds it.

Left: a deregistration of an upstream that has no record is acknowledged and forgotten; the call names the ID only.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -59,6 +59,9 @@
 		return HeartbeatReply{}, ErrNotLeader
 	}
 	received := coordinator.clock.Now()
+	if coordinator.holds.hasDeparted(heartbeat.Instance.Owner()) {
+		heartbeat.Instance.Draining = true
+	}
 	if !coordinator.holds.isCurrent(heartbeat) {
 		return HeartbeatReply{}, nil
 	}
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -73,8 +73,8 @@
 	// later fence were assigned in this term.
 	termIndex uint64
 	upstreams map[spans.Owner]*upstreamState
-	// departing is when each upstream that has deregistered did so.
-	departing map[spans.Owner]time.Time
+	// departed are the upstreams that have deregistered.
+	departed map[spans.Owner]bool
 	// reservations holds the latest reservation of each service.
 	reservations map[string]*reservation
 	// movingSince is when each span was first seen to be moving.
@@ -90,7 +90,7 @@
 	holdtable.termStart = holdtable.clock.Now()
 	holdtable.termIndex = holdtable.node.Catalog().Index
 	holdtable.upstreams = map[spans.Owner]*upstreamState{}
-	holdtable.departing = map[spans.Owner]time.Time{}
+	holdtable.departed = map[spans.Owner]bool{}
 	holdtable.reservations = map[string]*reservation{}
 	holdtable.movingSince = map[moveID]time.Time{}
 }
@@ -439,22 +439,27 @@
 	}
 }
 
-// silence returns the time since an upstream's last heartbeat, and whether the
-// upstream has deregistered.
-func (holdtable *holdTable) silence(owner spans.Owner, now time.Time) (silence time.Duration, deregistered bool) {
+// silence returns the time since an upstream's last heartbeat.
+func (holdtable *holdTable) silence(owner spans.Owner, now time.Time) time.Duration {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	lastHeartbeat := holdtable.termStart
 	if upstream, ok := holdtable.upstreams[owner]; ok {
 		lastHeartbeat = upstream.lastHeartbeat
 	}
-	_, deregistered = holdtable.departing[owner]
-	return now.Sub(lastHeartbeat), deregistered
+	return now.Sub(lastHeartbeat)
 }
 
 // depart records that an upstream has deregistered.
 func (holdtable *holdTable) depart(owner spans.Owner) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
-	holdtable.departing[owner] = holdtable.clock.Now()
+	holdtable.departed[owner] = true
+}
+
+// hasDeparted reports whether an upstream has deregistered in this term.
+func (holdtable *holdTable) hasDeparted(owner spans.Owner) bool {
+	holdtable.mutex.Lock()
+	defer holdtable.mutex.Unlock()
+	return holdtable.departed[owner]
 }
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -33,7 +33,9 @@
 	// silentAfter is the time without a heartbeat after which an upstream is marked
 	// silent, so that it is used only as a last resort.
 	silentAfter = 2200 * time.Millisecond
-	// removeAfter is the time without a heartbeat after which an upstream is removed.
+	// removeAfter is the time without a heartbeat after which an upstream is removed. It
+	// is as long for one that has deregistered, since the record keeps later leaders from
+	// taking a late heartbeat for that of a new upstream.
 	removeAfter = 20 * time.Second
 	// removeEntryAfter is the time without a poll after which an entry host is
 	// removed. It is longer than share.ShareTerm, so its shares of rates have expired.
@@ -207,9 +209,9 @@
 	now := coordinator.clock.Now()
 	var gone, silent []spans.Owner
 	for _, instance := range catalog.Instances {
-		silence, deregistered := coordinator.holds.silence(instance.Owner(), now)
+		silence := coordinator.holds.silence(instance.Owner(), now)
 		switch {
-		case silence > removeAfter || deregistered && silence > holdExpiry:
+		case silence > removeAfter:
 			gone = append(gone, instance.Owner())
 		case silence > silentAfter && !instance.Silent:
 			silent = append(silent, instance.Owner())
