End the removal of an entry host with its commit

What callers would see: an entry host that falls silent for 6 s and polls again is refused for the rest of the leader's term and gets no shares.

A host was marked as being removed until a tick found the catalog without it. Its poll, every 50 ms after a refusal, registers it again between two ticks, so that no tick did, and the next one removed it again.

Evidence: TestPollAfterRemoval, by the reviewer, new, failed before: 10 of 10 polls refused.

Change: the mark ends when the removal is known to be committed; one whose outcome is unknown is proposed again by the next tick. A refused poll counts as a sign of life.

After: the test and TestPollDuringRemoval pass.

--- a/internal/control/steer/entries_test.go
+++ b/internal/control/steer/entries_test.go
@@ -54,3 +54,27 @@
 	_, present = node.catalog.Entries[entry.Name]
 	is.True(present) // it is registered again once the removal is committed
 }
+
+// TestPollAfterRemoval guards against an entry host that polls just after its removal
+// and is then removed again although it polls.
+func TestPollAfterRemoval(t *testing.T) {
+	is := is.New(t)
+	node := newFakeNode()
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	coordinator := New(node, clock, discardLogger())
+	entry := state.Entry{Name: "entry"}
+	_, err := coordinator.Poll(context.Background(), PollArgs{Entry: entry})
+	is.NoErr(err)
+	clock.Advance(removeEntryAfter + time.Second)
+	coordinator.Tick()
+	refused := 0
+	for range 10 {
+		clock.Advance(tickInterval / 2)
+		if _, err := coordinator.Poll(context.Background(), PollArgs{Entry: entry}); err != nil {
+			refused++
+		}
+		clock.Advance(tickInterval / 2)
+		coordinator.Tick()
+	}
+	is.Equal(refused, 0) // nothing is being removed any more
+}
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -99,11 +99,11 @@
 func (coordinator *Coordinator) recordPoll(args PollArgs, hosts []string, rates map[string]share.Rate) (share.Grant, bool) {
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
+	now := coordinator.clock.Now()
+	coordinator.entries[args.Entry.Name] = now
 	if _, present := coordinator.node.Catalog().Entries[args.Entry.Name]; !present || coordinator.removing[args.Entry.Name] {
 		return share.Grant{}, false
 	}
-	now := coordinator.clock.Now()
-	coordinator.entries[args.Entry.Name] = now
 	for service, keys := range args.Keys {
 		loads, ok := coordinator.loads[service]
 		if !ok {
@@ -173,18 +173,14 @@
 	_, termStart := coordinator.holds.start()
 	coordinator.mutex.Lock()
 	catalog, now := coordinator.node.Catalog(), coordinator.clock.Now()
-	for name := range coordinator.removing {
-		if _, present := catalog.Entries[name]; !present {
-			delete(coordinator.removing, name)
-		}
-	}
 	var gone []string
 	for name := range catalog.Entries {
 		lastPoll, ok := coordinator.entries[name]
 		if !ok {
 			lastPoll = termStart
 		}
-		if now.Sub(lastPoll) > removeEntryAfter {
+		// The outcome of an earlier removal may be unknown.
+		if now.Sub(lastPoll) > removeEntryAfter || coordinator.removing[name] {
 			gone = append(gone, name)
 			coordinator.removing[name] = true
 			delete(coordinator.entries, name)
@@ -192,9 +188,17 @@
 		}
 	}
 	coordinator.mutex.Unlock()
-	if len(gone) > 0 {
-		coordinator.log.WithField("entries", gone).Info(logPrefix + "removing entry hosts that stopped polling")
-		coordinator.propose(ctx, term, state.RemoveEntries{Names: gone})
+	if len(gone) == 0 {
+		return
+	}
+	coordinator.log.WithField("entries", gone).Info(logPrefix + "removing entry hosts that stopped polling")
+	if !coordinator.propose(ctx, term, state.RemoveEntries{Names: gone}) {
+		return
+	}
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	for _, name := range gone {
+		delete(coordinator.removing, name)
 	}
 }
 
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -228,10 +228,13 @@
 	}
 }
 
-// propose commits a command that was decided in the term. A failure is only logged,
-// since the next tick proposes the command again if it is still due.
-func (coordinator *Coordinator) propose(ctx context.Context, term uint64, command state.Command) {
+// propose commits a command that was decided in the term, and reports whether it is
+// known to be committed. A failure is only logged, since the next tick proposes the
+// command again if it is still due.
+func (coordinator *Coordinator) propose(ctx context.Context, term uint64, command state.Command) bool {
 	if _, err := coordinator.node.ProposeInTerm(ctx, term, command); err != nil {
 		coordinator.log.WithError(err).Warnf(logPrefix+"could not commit %T", command)
+		return false
 	}
+	return true
 }
