Answer a heartbeat that is delivered twice with holds both times

What callers would see: an upstream gets no holds in the only answer that reaches it, and its keys are not renewed.

A control host forwards a heartbeat again if an attempt times out while the leader commits the upstream's registration. The second attempt was taken for an overtaken one, as its sequence is not higher than the recorded one.

Change: an attempt with the recorded sequence is granted holds too. What it says of holds and releases counts only once, since the upstream may have acted on the first answer.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -84,12 +84,12 @@
 // renew records the heartbeat, reassigns what the upstream has released, and grants
 // it holds.
 func (coordinator *Coordinator) renew(ctx context.Context, term uint64, heartbeat Heartbeat, received time.Time) (HeartbeatReply, error) {
-	if err := coordinator.holds.record(term, heartbeat, received); err != nil {
+	first, err := coordinator.holds.record(term, heartbeat, received)
+	if err != nil {
 		return HeartbeatReply{}, err
 	}
-	if reserved, gone := coordinator.holds.reserveLeftOut(term, heartbeat); reserved != nil {
-		coordinator.logReleased(heartbeat.Instance.Service, gone)
-		coordinator.commit(ctx, reserved)
+	if first {
+		coordinator.commitLeftOut(ctx, term, heartbeat)
 	}
 	if heartbeat.Instance.Draining {
 		// Mark its keys as moving now, so that this answer already requests their
@@ -104,6 +104,17 @@
 	return heartbeatreply, nil
 }
 
+// commitLeftOut assigns moving keys that the upstream no longer holds to their next
+// owners.
+func (coordinator *Coordinator) commitLeftOut(ctx context.Context, term uint64, heartbeat Heartbeat) {
+	reserved, gone := coordinator.holds.reserveLeftOut(term, heartbeat)
+	if reserved == nil {
+		return
+	}
+	coordinator.logReleased(heartbeat.Instance.Service, gone)
+	coordinator.commit(ctx, reserved)
+}
+
 // nearbyControlHost returns a live control host in the data centre, so that
 // heartbeats, which are long, stay within it. The messages that control hosts
 // forward to the leader are short.
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -141,12 +141,14 @@
 }
 
 // record stores the time, sequence and holds of a heartbeat. It fails with
-// errSuperseded if a later heartbeat of the upstream has been recorded.
-func (holdtable *holdTable) record(term uint64, heartbeat Heartbeat, received time.Time) error {
+// errSuperseded if a later heartbeat of the upstream has been recorded. It reports false
+// if this one has been, by another attempt to deliver it: what it says of holds may be
+// out of date then, as the upstream may have been answered.
+func (holdtable *holdTable) record(term uint64, heartbeat Heartbeat, received time.Time) (first bool, err error) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	if holdtable.term != term {
-		return ErrNotLeader
+		return false, ErrNotLeader
 	}
 	owner := heartbeat.Instance.Owner()
 	known, ok := holdtable.upstreams[owner]
@@ -155,7 +157,10 @@
 		known = &upstreamState{holdsUntil: holdtable.holdsUntil(owner), reported: map[uint64]bool{}}
 		holdtable.upstreams[owner] = known
 	} else if heartbeat.Sequence <= known.sequence {
-		return errSuperseded
+		if heartbeat.Sequence < known.sequence {
+			return false, errSuperseded
+		}
+		return false, nil
 	}
 	known.sequence = heartbeat.Sequence
 	if since := received.Sub(known.lastHeartbeat); since > minHeartbeatInterval && since < silentAfter {
@@ -163,7 +168,7 @@
 	}
 	known.lastHeartbeat = received
 	known.addReleases(heartbeat, holdtable.node.Catalog().Spans[heartbeat.Instance.Service].OwnedBy(owner))
-	return nil
+	return true, nil
 }
 
 // addReleases keeps what the heartbeat releases of the spans that the process owns. A
