Count the end of a request for the entry it was sent to

What callers see: an upstream gets more requests at a time than it has slots, for as long as it stays, after it was removed and entered again while requests to it ran.

Cause: a ticket named its upstream by identity and start time. Where the same process is entered again, as after a silence of 20 s or a deregistration that it outlived, the end of an earlier request lowered the count of the new entry, which had never counted its begin, below the true one.

Change: a ticket refers to the entry that counted its begin.

--- a/internal/dispatch/admit/job.go
+++ b/internal/dispatch/admit/job.go
@@ -56,6 +56,7 @@
 // Ticket permits sending one request to an upstream. Release returns it.
 type Ticket struct {
 	Target    Target
+	upstream  *upstream
 	job       Job
 	scheduler *Scheduler
 	// started is when the ticket was granted or, on an exclusive scheduler, when
--- a/internal/dispatch/admit/report.go
+++ b/internal/dispatch/admit/report.go
@@ -15,9 +15,9 @@
 	defer scheduler.mutex.Unlock()
 	now := scheduler.clock.Now()
 	state := scheduler.service(ticket.Target.Service)
-	upstream, ok := state.upstreams[ticket.Target.Owner]
-	if !ok {
-		return
+	upstream := ticket.upstream
+	if state.upstreams[ticket.Target.Owner] != upstream {
+		return // it has been removed, and may have been entered again
 	}
 	upstream.end(ticket, now)
 	upstream.recordLoad(now, load)
