Number permits so that releases match one process only

What callers see: after an entry host's restart, an upstream gets more requests at a time than its slots and queue hold, by up to the number of permits that the host had granted before.

Cause: each process of a primary numbered its permits from 1, and a release names the number alone. The release of a permit from the earlier process, which the upstream's request outlived, ended the permit with that number in the new one.

Change: the numbers of a process start at a random one of 32 bits. The three messages about a permit grow by up to 4 bytes each; what that adds between data centres was not measured.

--- a/internal/dispatch/permit/permit_test.go
+++ b/internal/dispatch/permit/permit_test.go
@@ -322,6 +322,32 @@
 	is.True(<-next != nil)
 }
 
+// TestReleaseAfterPrimaryRestart releases a permit that a primary granted before its
+// process was replaced. Permits were numbered from 1 by each process, so the release
+// ended another request's permit, and the upstream got a request too many.
+func TestReleaseAfterPrimaryRestart(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	number := fleet.primaryOf(t)
+	earlier, refusal := fleet.clients[(number+1)%3].Acquire(t.Context(), fleet.newJob())
+	is.Equal(refusal, nil)
+	is.Equal(earlier.Source, fleet.entries[number].Name)
+	table, err := spans.Table{}.Apply(1, []spans.Change{{From: 0, To: spans.MaxKey, Owner: fleet.target.Owner}})
+	is.NoErr(err)
+	exclusive := admit.NewExclusiveScheduler(fleet.clock, 1)
+	exclusive.Update(serviceName, []admit.Target{fleet.target}, table)
+	restarted := NewPrimary(exclusive, fleet.clock, &log.Logger{Handler: discard.New()})
+	fleet.network.hosts[fleet.entries[number].Peer] = restarted
+	_, refusal = fleet.clients[(number+2)%3].Acquire(t.Context(), fleet.newJob())
+	is.Equal(refusal, nil)
+	fleet.network.released = make(chan doneMessage, 1)
+	earlier.Release(admit.ResultAnswered, nil)
+	<-fleet.network.released
+	restarted.mutex.Lock()
+	defer restarted.mutex.Unlock()
+	is.Equal(len(restarted.leases), 1)
+}
+
 // TestUnknownRequests checks the reply to requests that cannot be decoded.
 func TestUnknownRequests(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,7 +38,9 @@
 	clock     clockwork.Clock
 	log       log.Interface
 
-	mutex      sync.Mutex
+	mutex sync.Mutex
+	// lastNumber is the number of the latest permit. It starts at random, so that
+	// messages about permits of an earlier process match none of this one.
 	lastNumber uint64
 	leases     map[uint64]*lease
 	sweptAt    time.Time
@@ -45,7 +48,10 @@
 
 // NewPrimary returns a primary that grants the scheduler's tickets as permits.
 func NewPrimary(scheduler *admit.Scheduler, clock clockwork.Clock, logger log.Interface) *Primary {
-	return &Primary{scheduler: scheduler, clock: clock, log: logger, leases: map[uint64]*lease{}}
+	return &Primary{
+		scheduler: scheduler, clock: clock, log: logger, leases: map[uint64]*lease{},
+		lastNumber: uint64(rand.Uint32()), //nolint:gosec // distinguishes processes, not security-sensitive
+	}
 }
 
 // Serve answers a request from another host.
