Grant nothing by the stamp of an upstream's earlier process

What callers see: an upstream that was replaced at its address may believe that it holds keys for far longer than a grant lasts. If its primary then loses it, the keys go to another upstream while it still accepts requests for them.

Cause: a grant counts from a stamp of the upstream's clock. When the answer to a grant showed that another process listens, its stamp was left out, but grants went on by the earlier process's, until the new one had announced itself (about 1 s). With a key that moved meanwhile they carried the whole list, so the new process held it until a time of another clock.

Change: the stamp is dropped at the first answer of another process, which is then only asked for its own. A grant that is on its way at that moment still carries the old stamp; to rule that out, the protocol would have to name the incarnation.

--- a/internal/dispatch/shard/grant.go
+++ b/internal/dispatch/shard/grant.go
@@ -209,7 +209,9 @@
 	grants.failures = 0
 	now := shard.env.Clock.Now()
 	if message.ack.Incarnation != "" && message.ack.Incarnation != message.target.upstream.Incarnation {
-		// Another process now listens at the address; it will announce itself.
+		// Another process now listens at the address; it will announce itself. Its clock
+		// has other stamps, so until then it is asked for one and granted nothing.
+		grants.basis = 0
 		return
 	}
 	if grants.basis == 0 {
--- a/internal/dispatch/shard/harness_test.go
+++ b/internal/dispatch/shard/harness_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -104,8 +105,12 @@
 	sent  []upstr.Call
 	dead  map[netip.AddrPort]bool
 	stamp int64
-	// grants holds the latest full grant by address.
+	// incarnation identifies the process that answers grants; empty means "one".
+	incarnation string
+	// grants holds the latest full grant by address, and timed the number of grants
+	// with a lifetime.
 	grants map[netip.AddrPort]upstr.Grant
+	timed  int
 }
 
 func (fakeupstreams *fakeUpstreams) Send(ctx context.Context, call upstr.Call) upstr.Result {
@@ -126,10 +131,13 @@
 		return upstr.GrantAck{}, Error.New("upstream %s does not answer", address)
 	}
 	fakeupstreams.stamp++
+	if grant.Basis != 0 {
+		fakeupstreams.timed++
+	}
 	if grant.Full && grant.Basis != 0 {
 		fakeupstreams.grants[address] = grant
 	}
-	return upstr.GrantAck{Stamp: fakeupstreams.stamp, Incarnation: "one", Revision: grant.Revision, Epoch: grant.Epoch}, nil
+	return upstr.GrantAck{Stamp: fakeupstreams.stamp, Incarnation: cmp.Or(fakeupstreams.incarnation, "one"), Revision: grant.Revision, Epoch: grant.Epoch}, nil
 }
 
 func (fakeupstreams *fakeUpstreams) kill(address netip.AddrPort) {
--- a/internal/dispatch/shard/move_test.go
+++ b/internal/dispatch/shard/move_test.go
@@ -338,6 +338,24 @@
 	is.Equal(fmt.Sprint(len(harness.upstreams.grants[upstreamAddress(5)].Slots)), "8")
 }
 
+// TestStampOfEarlierProcessIsNotUsed replaces an upstream's process, which has not announced
+// itself yet, while a key moves. The new process was sent the new list of keys with a
+// lifetime from a stamp of the earlier one's clock, which may lie far ahead on its own.
+func TestStampOfEarlierProcessIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, keyedService, 2)
+	harness.upstreams.incarnation = "two"
+	harness.clock.Advance(GrantInterval)
+	harness.grant() // the answer shows that another process listens
+	timed := harness.upstreams.timed
+	harness.moveKey("van-8")
+	for range 3 {
+		harness.clock.Advance(GrantInterval)
+		harness.grant()
+	}
+	is.Equal(harness.upstreams.timed, timed)
+}
+
 // TestUpstreamChangesAddressTwice announces an upstream at a second address, and then
 // again before the grants of its first process have expired: at a third address, or
 // with other slots. The wait for those grants was forgotten, so that two processes
