Record polls and removals of entry hosts only in their own term

Poll compared no terms: a report taken up in one term was entered in the allocator of a later one, which then counted the host as known without the shares that an interim leader had given it, and gave those to others. The answer was withheld, but the entry stayed. removeEntries likewise could judge by the start of an earlier term and mark all hosts as being removed in the present one.

Evidence: TestPollOfEarlierTermIsNotRecorded, by the reviewer, new, failed before. The part of removals is by reading.

Change: the term stands beside what the mutex guards, and reports, loans and removals of another term are refused in the step that would record them.

After: the test passes.

--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -73,9 +74,12 @@
 	for name, workspace := range catalog.View().Workspaces() {
 		rates[name] = share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
 	}
-	grant, ok := coordinator.recordPoll(args, hosts, rates)
-	if !ok {
-		return PollReply{}, Error.New("entry host %q is being removed, it can poll again shortly", args.Entry.Name)
+	grant, err := coordinator.recordPoll(term, args, hosts, rates)
+	if errors.Is(err, ErrNotLeader) {
+		return PollReply{NotLeader: true, Leader: coordinator.leaderAddress()}, nil
+	}
+	if err != nil {
+		return PollReply{}, err
 	}
 	reply := PollReply{Index: catalog.Index, Grant: grant}
 	if !coordinator.leadsIn(term) {
@@ -96,13 +100,16 @@
 // recordPoll adds an entry host's report to the loads and the health of upstreams, and
 // grants the host its shares of the rates. A host that is being removed is granted
 // none: later leaders learn from the catalog which hosts may have shares.
-func (coordinator *Coordinator) recordPoll(args PollArgs, hosts []string, rates map[string]share.Rate) (share.Grant, bool) {
+func (coordinator *Coordinator) recordPoll(term uint64, args PollArgs, hosts []string, rates map[string]share.Rate) (share.Grant, error) {
 	coordinator.mutex.Lock()
 	defer coordinator.mutex.Unlock()
+	if coordinator.term != term {
+		return share.Grant{}, ErrNotLeader
+	}
 	now := coordinator.clock.Now()
 	coordinator.entries[args.Entry.Name] = now
 	if _, present := coordinator.node.Catalog().Entries[args.Entry.Name]; !present || coordinator.removing[args.Entry.Name] {
-		return share.Grant{}, false
+		return share.Grant{}, Error.New("entry host %q is being removed, it can poll again shortly", args.Entry.Name)
 	}
 	for service, keys := range args.Keys {
 		loads, ok := coordinator.loads[service]
@@ -118,7 +125,7 @@
 				Info(logPrefix + "upstream is failing or unreachable, placing no keys on it")
 		}
 	}
-	return coordinator.allocator.Grant(now, args.Report, hosts, rates), true
+	return coordinator.allocator.Grant(now, args.Report, hosts, rates), nil
 }
 
 // LoanArgs requests tokens of a workspace's rate.
@@ -149,15 +156,22 @@
 	}
 	workspace := coordinator.node.Catalog().View().Workspaces()[args.Workspace]
 	rate := share.Rate{PerSecond: workspace.PerSecond, Burst: workspace.Burst}
-	coordinator.mutex.Lock()
-	loan := coordinator.allocator.Lend(coordinator.clock.Now(), args.Host, args.Workspace, args.Wanted, rate)
-	coordinator.mutex.Unlock()
-	if !coordinator.leadsIn(term) {
+	loan, ok := coordinator.lend(term, args, rate)
+	if !ok || !coordinator.leadsIn(term) {
 		return LoanReply{NotLeader: true, Leader: coordinator.leaderAddress()}
 	}
 	return LoanReply{Loan: loan}
 }
 
+func (coordinator *Coordinator) lend(term uint64, args LoanArgs, rate share.Rate) (share.Loan, bool) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if coordinator.term != term {
+		return share.Loan{}, false
+	}
+	return coordinator.allocator.Lend(coordinator.clock.Now(), args.Host, args.Workspace, args.Wanted, rate), true
+}
+
 func (coordinator *Coordinator) leaderAddress() string {
 	status := coordinator.node.Status()
 	for _, member := range status.Members {
@@ -170,14 +184,35 @@
 
 // removeEntries removes entry hosts that have stopped polling.
 func (coordinator *Coordinator) removeEntries(ctx context.Context, term uint64) {
-	_, termStart := coordinator.holds.start()
+	gone := coordinator.entriesGone(term)
+	if len(gone) == 0 {
+		return
+	}
+	coordinator.log.WithField("entries", gone).Info(logPrefix + "removing entry hosts that stopped polling")
+	if !coordinator.propose(ctx, term, state.RemoveEntries{Names: gone}) {
+		return
+	}
 	coordinator.mutex.Lock()
-	catalog, now := coordinator.node.Catalog(), coordinator.clock.Now()
+	defer coordinator.mutex.Unlock()
+	for _, name := range gone {
+		delete(coordinator.removing, name)
+	}
+}
+
+// entriesGone returns the entry hosts that have stopped polling, and marks them as being
+// removed.
+func (coordinator *Coordinator) entriesGone(term uint64) []string {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if coordinator.term != term {
+		return nil
+	}
 	var gone []string
+	catalog, now := coordinator.node.Catalog(), coordinator.clock.Now()
 	for name := range catalog.Entries {
 		lastPoll, ok := coordinator.entries[name]
 		if !ok {
-			lastPoll = termStart
+			lastPoll = coordinator.termStart
 		}
 		// The outcome of an earlier removal may be unknown.
 		if now.Sub(lastPoll) > removeEntryAfter || coordinator.removing[name] {
@@ -187,19 +222,7 @@
 			coordinator.allocator.RemoveHost(name)
 		}
 	}
-	coordinator.mutex.Unlock()
-	if len(gone) == 0 {
-		return
-	}
-	coordinator.log.WithField("entries", gone).Info(logPrefix + "removing entry hosts that stopped polling")
-	if !coordinator.propose(ctx, term, state.RemoveEntries{Names: gone}) {
-		return
-	}
-	coordinator.mutex.Lock()
-	defer coordinator.mutex.Unlock()
-	for _, name := range gone {
-		delete(coordinator.removing, name)
-	}
+	return gone
 }
 
 // callTimeout bounds the processing of one RPC on the leader.
--- a/internal/control/steer/poll_test.go
+++ b/internal/control/steer/poll_test.go
@@ -10,6 +10,7 @@
 
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/rates/share"
 )
 
 // deposedNode is a control group member that loses its lease when the catalog is
@@ -46,3 +47,44 @@
 	is.True(loan.NotLeader)
 	is.Equal(loan.Loan.Tokens, 0.0)
 }
+
+// reelectedNode runs a function once when the catalog is read.
+type reelectedNode struct {
+	*fakeNode
+	reelect *func()
+}
+
+func (reelectednode reelectedNode) Catalog() *state.Catalog {
+	if reelect := *reelectednode.reelect; reelect != nil {
+		*reelectednode.reelect = nil
+		reelect()
+	}
+	return reelectednode.fakeNode.Catalog()
+}
+
+// TestPollOfEarlierTermIsNotRecorded guards against shares beyond the rate: a report that
+// a host sent to the leader of an earlier term counts as its report in the present one,
+// although an interim leader has granted it other shares since.
+func TestPollOfEarlierTermIsNotRecorded(t *testing.T) {
+	is := is.New(t)
+	node := newFakeNode()
+	entry := state.Entry{Name: "entry"}
+	node.catalog, _ = node.catalog.Apply(2, state.RegisterEntry{Entry: entry})
+	coordinator := New(node, clockwork.NewFakeClockAt(time.Unix(1000, 0)), discardLogger())
+	ctx := context.Background()
+	_, leads := coordinator.lead(ctx)
+	is.True(leads)
+	reelect := func() {
+		node.term = 3
+		_, leads = coordinator.lead(ctx)
+		is.True(leads)
+	}
+	coordinator.node = reelectedNode{node, &reelect}
+	reply, err := coordinator.Poll(ctx, PollArgs{Entry: entry, Report: share.Report{Host: "entry"}})
+	is.NoErr(err)
+	is.True(reply.NotLeader)
+	reply, err = coordinator.Poll(ctx, PollArgs{Entry: entry, Report: share.Report{Host: "entry", Got: 2<<32 + 1, Left: 4 * time.Second}})
+	is.NoErr(err)
+	is.True(!reply.NotLeader)
+	is.True(reply.Grant.Unknown) // the leader asks for the shares of the second term
+}
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -84,7 +84,9 @@
 	termMutex sync.Mutex
 
 	// mutex guards the fields below. It is not held together with that of holds.
-	mutex sync.Mutex
+	mutex     sync.Mutex
+	term      uint64
+	termStart time.Time
 	// firstSeen is when each service without owners was first seen to have upstreams.
 	firstSeen map[string]time.Time
 	loads     map[string]*keyLoads
@@ -134,12 +136,13 @@
 // it lets calls use the rest.
 func (coordinator *Coordinator) reset(term uint64) {
 	coordinator.mutex.Lock()
+	coordinator.term, coordinator.termStart = term, coordinator.clock.Now()
 	coordinator.firstSeen = map[string]time.Time{}
 	coordinator.loads = map[string]*keyLoads{}
 	coordinator.health = healthTable{}
 	coordinator.entries = map[string]time.Time{}
 	coordinator.removing = map[string]bool{}
-	coordinator.allocator.Reset(coordinator.clock.Now(), term)
+	coordinator.allocator.Reset(coordinator.termStart, term)
 	coordinator.mutex.Unlock()
 	coordinator.holds.reset(term)
 }
