Place no keys of services that are not keyed

What callers would see: nothing directly; heartbeats of draining upstreams waited for commits that nobody needs, and the log filled with moves of such keys.

The tick places keys of keyed services only, but the heartbeat of a draining upstream placed those of its service whatever it is.

Evidence: TestUnkeyedServiceGetsNoHolds, by the reviewer, new, failed before.

Change: the heartbeat asks whether the service is keyed.

After: the test passes.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -91,7 +91,8 @@
 	if first {
 		coordinator.commitLeftOut(ctx, term, heartbeat)
 	}
-	if heartbeat.Instance.Draining {
+	services := coordinator.node.Catalog().View().Services()
+	if heartbeat.Instance.Draining && services[heartbeat.Instance.Service].Keyed {
 		// Mark its keys as moving now, so that this answer already requests their
 		// release.
 		coordinator.updatePlacement(ctx, term, heartbeat.Instance.Service)
--- a/internal/control/steer/heartbeat_test.go
+++ b/internal/control/steer/heartbeat_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
 // TestResentHeartbeatIsGranted guards against an answer without holds to a heartbeat that
@@ -30,3 +33,18 @@
 	is.NoErr(second.err)
 	is.True(second.answer.Renewed) // the only answer that reaches the upstream
 }
+
+// TestUnkeyedServiceGetsNoHolds guards against keys of a service without keys, which the
+// heartbeats of a draining upstream divided among its upstreams.
+func TestUnkeyedServiceGetsNoHolds(t *testing.T) {
+	is := is.New(t)
+	simulation := newSimulation(1, 3)
+	item := items.Item{Kind: items.KindService, Name: jobs, Version: 2, Service: &items.Service{}}
+	simulation.group.catalog, _ = simulation.group.catalog.Apply(simulation.group.catalog.Index+1, state.PutItems{Items: []items.Item{item}})
+	simulation.group.publish()
+	simulation.upstreams[0].instance.Draining = true
+	simulation.run(4 * time.Second)
+	for _, upstream := range simulation.upstreams {
+		is.Equal(len(upstream.seen), 0)
+	}
+}
