Grant a draining upstream no keys while another change is under way

What callers saw: keys stay with an upstream that leaves for a heartbeat longer than needed.

The heartbeat with which an upstream begins to drain marks its keys as moving and then grants what does not move. If another change of the service was under way, nothing was marked, and it was granted all of its keys for 3.6 s.

Evidence: TestDrainingHeartbeatDuringAnotherChange, by the reviewer, new, failed before.

Ruled out: to wait for the other change in the heartbeat. It would hold up its answer for a commit, up to the second after which the upstream gives it up.

Change: a draining upstream is granted nothing if another one can take its keys. The next tick marks them as moving, and its release is kept until then.

After: the test passes.

--- a/internal/control/steer/heartbeat_test.go
+++ b/internal/control/steer/heartbeat_test.go
@@ -48,3 +48,21 @@
 		is.Equal(len(upstream.seen), 0)
 	}
 }
+
+// TestDrainingHeartbeatDuringAnotherChange guards against an answer that renews all keys
+// of a draining upstream, since another change of the service was under way.
+func TestDrainingHeartbeatDuringAnotherChange(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(1, 4)
+	draining, other := simulation.upstreams[0], simulation.upstreams[1]
+	for draining.call != nil || other.call != nil {
+		simulation.step()
+	}
+	simulation.setEvacuated(other, true)
+	tick := simulation.startTick(simulation.group.leader)
+	simulation.scheduler.runUntil(tick, "before append state.ChangeSpans")
+	draining.instance.Draining = true
+	simulation.exchange(draining)
+	simulation.scheduler.finish(tick)
+	is.Equal(len(draining.rows), 0)
+}
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -231,7 +231,7 @@
 	if !ok || known.sequence != heartbeat.Sequence || isReplaced(catalog, owner) {
 		return HeartbeatReply{}, grant{}, errSuperseded
 	}
-	reserved := holdtable.reservations[service]
+	reserved, leaves := holdtable.reservations[service], canLeave(catalog, owner)
 	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
 	grant := grant{term: term, index: catalog.Index, decidedAt: holdtable.clock.Now(), received: received}
 	owned := catalog.Spans[service].OwnedBy(owner)
@@ -241,8 +241,8 @@
 			grant.moving = append(grant.moving, span)
 		case reserved.isOpen(catalog) && reserved.covers(span):
 			grant.reserved = append(grant.reserved, span)
-		case known.hasReleased(span):
-			grant.released = append(grant.released, span)
+		case leaves || known.hasReleased(span):
+			grant.withheld = append(grant.withheld, span)
 		default:
 			grant.holds = append(grant.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
 		}
@@ -255,6 +255,16 @@
 	return heartbeatreply, grant, nil
 }
 
+// canLeave reports whether an upstream is draining and another one of its service can
+// take its keys. It is granted none then, also while a change that marks them as moving
+// has to wait for another one.
+func canLeave(catalog *state.Catalog, owner spans.Owner) bool {
+	instance := catalog.Instances[owner.ID]
+	return instance.Draining && slices.ContainsFunc(catalog.InstancesOf(instance.Service), func(other state.Instance) bool {
+		return other.ID != owner.ID && catalog.Schedulable(other) && !other.Silent && !other.Cold
+	})
+}
+
 // holdsUntil returns when all holds that an owner was granted have certainly expired.
 func (holdtable *holdTable) holdsUntil(owner spans.Owner) time.Time {
 	if known, ok := holdtable.upstreams[owner]; ok {
--- a/internal/control/steer/trace.go
+++ b/internal/control/steer/trace.go
@@ -20,10 +20,10 @@
 	received, decidedAt time.Time
 	holdsUntil          time.Time
 	holds               []Hold
-	// moving, reserved and released are the owned spans that were not granted, since they
-	// are moving away, are reserved for a change of their ownership, or were released by
-	// the upstream.
-	moving, reserved, released []spans.Span
+	// moving, reserved and withheld are the owned spans that were not granted, since they
+	// are moving away, are reserved for a change of their ownership, or the upstream has
+	// released them or is draining.
+	moving, reserved, withheld []spans.Span
 }
 
 // logGrant logs the reply to a heartbeat if it grants other key ranges than the
@@ -40,7 +40,7 @@
 		WithField("held", formatHolds(heartbeat.Holds)).WithField("released", formatReleases(heartbeat.Released)).
 		WithField("granted", formatHolds(grant.holds)).WithField("moving", formatSpans(grant.moving)).
 		WithField("reserved", formatSpans(grant.reserved)).
-		WithField("withheld", formatSpans(grant.released)).Info(logPrefix + "granted holds changed")
+		WithField("withheld", formatSpans(grant.withheld)).Info(logPrefix + "granted holds changed")
 }
 
 // logReassigned logs the ownership changes that rely on an owner holding nothing,
