--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -35,13 +35,22 @@
 			coordinator.log.WithError(err).WithField("service", service).Warn(logPrefix + "some keys could not be rebalanced")
 		}
 	}
-	coordinator.logReassigned(assessment, service, changes)
+	coordinator.commitPlanned(ctx, assessment, service, changes)
+	coordinator.holds.trackMoves(term, service)
+}
+
+// commitPlanned commits those of the planned changes that still hold.
+func (coordinator *Coordinator) commitPlanned(ctx context.Context, assessment assessment, service string, changes []spans.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	coordinator.log.WithField("service", service).WithField("changes", len(changes)).Debug(logPrefix + "ownership changes planned")
 	reserved, rejected := coordinator.holds.reservePlanned(assessment, service, changes)
 	coordinator.logRejected(assessment, service, rejected)
 	if reserved != nil {
+		coordinator.logReassigned(assessment, reserved)
 		coordinator.commit(ctx, reserved)
 	}
-	coordinator.holds.trackMoves(term, service)
 }
 
 // measured reports whether loads and service times have been measured for long enough
--- a/internal/control/steer/trace.go
+++ b/internal/control/steer/trace.go
@@ -43,12 +43,12 @@
 		WithField("withheld", formatSpans(grant.withheld)).Info(logPrefix + "granted holds changed")
 }
 
-// logReassigned logs the ownership changes that rely on an owner holding nothing,
-// and since when it holds nothing.
-func (coordinator *Coordinator) logReassigned(assessment assessment, service string, changes []spans.Change) {
-	for _, change := range changes {
+// logReassigned logs the reserved changes that rely on an owner holding nothing, and
+// since when it holds nothing.
+func (coordinator *Coordinator) logReassigned(assessment assessment, reserved *reservation) {
+	for _, change := range reserved.command.Changes {
 		if change.Owner != (spans.Owner{}) {
-			coordinator.logDirect(assessment, service, change, "holds of a key range have ended")
+			coordinator.logDirect(assessment, reserved.command.Service, change, "holds of a key range have ended")
 		}
 	}
 }
