Commit decisions on sessions and shards only in their own term

The planner judges that a session has expired by what its leader knows of leases, and proposed to close it whichever term it was by then. An interim leader can have renewed the lease meanwhile; the command names the session only.

Change: the controller reads the lease and the term of one status, and proposes in that term. It knows the node by an interface, so that the test can change the term.

--- a/internal/control/plan/controller.go
+++ b/internal/control/plan/controller.go
@@ -42,9 +42,19 @@
 	isolationMinTenure = 2 * time.Second
 )
 
+// Node is the local member of the control group.
+type Node interface {
+	// ProposeInTerm commits a command only if this member leads in the term.
+	ProposeInTerm(ctx context.Context, term uint64, command state.Command) (state.Result, error)
+	Catalog() *state.Catalog
+	Status() group.Status
+	Changed() <-chan struct{}
+	TransferLeadership() bool
+}
+
 // Controller commits the commands that Decide returns while its control host leads.
 type Controller struct {
-	node          *group.Node
+	node          Node
 	leases        Leases
 	clock         clockwork.Clock
 	log           log.Interface
@@ -56,7 +66,7 @@
 }
 
 // NewController returns the controller of a control host, already running.
-func NewController(node *group.Node, leases Leases, clock clockwork.Clock, logger log.Interface) *Controller {
+func NewController(node Node, leases Leases, clock clockwork.Clock, logger log.Interface) *Controller {
 	controller := &Controller{
 		node: node, leases: leases, clock: clock, log: logger,
 		stop: make(chan struct{}), done: make(chan struct{}),
@@ -82,7 +92,8 @@
 
 func (controller *Controller) reconcile() {
 	controller.leases.Update()
-	if !controller.node.HoldsLease() {
+	status := controller.node.Status()
+	if !controller.clock.Now().Before(status.LeaseEnd) {
 		return
 	}
 	if controller.isolated() {
@@ -104,7 +115,7 @@
 		controller.converged = catalog
 	}
 	for _, command := range commands {
-		controller.propose(command)
+		controller.propose(status.Term, command)
 	}
 }
 
@@ -125,13 +136,15 @@
 // minMembers is the size of the smallest group in which another member can take over.
 const minMembers = 2
 
-func (controller *Controller) propose(command state.Command) {
+// propose commits a command that was decided in the term: what is known of leases holds
+// only there.
+func (controller *Controller) propose(term uint64, command state.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
 	if closing, ok := command.(state.CloseSession); ok {
 		controller.log.Warnf(logPrefix+"session %d of host %s has expired", closing.Epoch, closing.Host)
 	}
-	if _, err := controller.node.Propose(ctx, command); err != nil {
+	if _, err := controller.node.ProposeInTerm(ctx, term, command); err != nil {
 		controller.log.WithError(err).Warnf(logPrefix+"failed to commit %T", command)
 	}
 }
