Name steps of the table of holds for what they do

The review stumbled over settle beside Settle, grant as a type and a step, and unheld; and over a lost lead logged as an unknown outcome.

--- a/internal/control/plan/controller_test.go
+++ b/internal/control/plan/controller_test.go
@@ -22,7 +22,9 @@
 	leaseEnd time.Time
 }
 
-func (reelectednode *reelectedNode) Catalog() *state.Catalog { return reelectednode.fleet.machine.Catalog }
+func (reelectednode *reelectedNode) Catalog() *state.Catalog {
+	return reelectednode.fleet.machine.Catalog
+}
 
 func (reelectednode *reelectedNode) Status() group.Status {
 	return group.Status{Term: reelectednode.term, LeaseEnd: reelectednode.leaseEnd}
--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
@@ -97,11 +98,11 @@
 		// release.
 		coordinator.updatePlacement(ctx, term, heartbeat.Instance.Service)
 	}
-	heartbeatreply, grant, err := coordinator.holds.grant(term, heartbeat, received)
+	heartbeatreply, decision, err := coordinator.holds.grant(term, heartbeat, received)
 	if err != nil {
 		return HeartbeatReply{}, err
 	}
-	coordinator.logGrant(heartbeat, grant)
+	coordinator.logGrant(heartbeat, decision)
 	return heartbeatreply, nil
 }
 
@@ -176,10 +177,14 @@
 // has changed.
 func (coordinator *Coordinator) commit(ctx context.Context, reserved *reservation) {
 	result, err := coordinator.node.ProposeInTerm(ctx, reserved.term, reserved.command)
-	coordinator.holds.settle(reserved, err == nil && result.Outcome == state.OutcomeInvalid)
+	coordinator.holds.endProposal(reserved, err == nil && result.Outcome == state.OutcomeInvalid)
 	if err != nil {
+		message := "outcome of an ownership change is unknown"
+		if errors.Is(err, group.ErrNotLeader) {
+			message = "ownership change not proposed, as this host has lost the lead"
+		}
 		coordinator.log.WithError(err).WithField("service", reserved.command.Service).WithField("term", reserved.term).
-			WithField("base", reserved.command.Base).Warn(logPrefix + "outcome of an ownership change is unknown")
+			WithField("base", reserved.command.Base).Warn(logPrefix + message)
 		return
 	}
 	coordinator.logCommitted(reserved, result)
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -71,7 +71,7 @@
 // holdTable knows which upstreams may hold keys in the leader's term. Granting
 // holds, deciding that an owner holds nothing, and reserving key ranges for a change
 // that relies on it are single steps under its mutex, each on the catalog as it is
-// at that moment. Steps of a term that has ended fail.
+// at that moment. Steps that were decided in another term than the table's fail.
 type holdTable struct {
 	node  Node
 	clock clockwork.Clock
@@ -219,40 +219,40 @@
 
 // grant decides which holds the upstream gets in the reply to its heartbeat, and
 // records when they expire.
-func (holdtable *holdTable) grant(term uint64, heartbeat Heartbeat, received time.Time) (HeartbeatReply, grant, error) {
+func (holdtable *holdTable) grant(term uint64, heartbeat Heartbeat, received time.Time) (HeartbeatReply, grantDecision, error) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	if holdtable.term != term {
-		return HeartbeatReply{}, grant{}, ErrNotLeader
+		return HeartbeatReply{}, grantDecision{}, ErrNotLeader
 	}
 	catalog := holdtable.node.Catalog()
 	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
 	known, ok := holdtable.upstreams[owner]
 	if !ok || known.sequence != heartbeat.Sequence || isReplaced(catalog, owner) {
-		return HeartbeatReply{}, grant{}, errSuperseded
+		return HeartbeatReply{}, grantDecision{}, errSuperseded
 	}
 	reserved, leaves := holdtable.reservations[service], canLeave(catalog, owner)
 	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
-	grant := grant{term: term, index: catalog.Index, decidedAt: holdtable.clock.Now(), received: received}
+	decision := grantDecision{term: term, index: catalog.Index, decidedAt: holdtable.clock.Now(), received: received}
 	owned := catalog.Spans[service].OwnedBy(owner)
 	for _, span := range owned {
 		switch {
 		case span.Moving():
-			grant.moving = append(grant.moving, span)
+			decision.moving = append(decision.moving, span)
 		case reserved.isOpen(catalog) && reserved.covers(span):
-			grant.reserved = append(grant.reserved, span)
+			decision.reserved = append(decision.reserved, span)
 		case leaves || known.hasReleased(span):
-			grant.withheld = append(grant.withheld, span)
+			decision.withheld = append(decision.withheld, span)
 		default:
-			grant.holds = append(grant.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
+			decision.holds = append(decision.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
 		}
 	}
 	known.forget(owned)
-	if until := received.Add(holdExpiry); len(grant.holds) > 0 && until.After(known.holdsUntil) {
+	if until := received.Add(holdExpiry); len(decision.holds) > 0 && until.After(known.holdsUntil) {
 		known.holdsUntil = until
 	}
-	heartbeatreply.Holds, grant.holdsUntil = grant.holds, known.holdsUntil
-	return heartbeatreply, grant, nil
+	heartbeatreply.Holds, decision.holdsUntil = decision.holds, known.holdsUntil
+	return heartbeatreply, decision, nil
 }
 
 // canLeave reports whether an upstream is draining and another one of its service can
@@ -354,7 +354,7 @@
 	}
 	var valid []spans.Change
 	for _, change := range changes {
-		if change.Owner != (spans.Owner{}) && !holdtable.unheld(catalog, table, change, now) {
+		if change.Owner != (spans.Owner{}) && !holdtable.heldByNewOwnerOnly(catalog, table, change, now) {
 			rejected = append(rejected, change)
 			continue
 		}
@@ -363,9 +363,9 @@
 	return holdtable.reserve(catalog, service, valid), rejected
 }
 
-// unheld reports whether nobody but the new owner holds any key of the range that is to
-// change.
-func (holdtable *holdTable) unheld(catalog *state.Catalog, table spans.Table, change spans.Change, now time.Time) bool {
+// heldByNewOwnerOnly reports whether nobody but the new owner holds any key of the range
+// that is to change.
+func (holdtable *holdTable) heldByNewOwnerOnly(catalog *state.Catalog, table spans.Table, change spans.Change, now time.Time) bool {
 	for _, span := range table.Overlapping(change.From, change.To) {
 		if span.Owner != change.Owner && !holdtable.holdsEnded(catalog, span.Owner, now) {
 			return false
@@ -502,9 +502,10 @@
 	return reserved, true
 }
 
-// settle ends a proposal of the reservation. A change that is known to have no effect
-// is discarded; any other stays reserved until the catalog shows a later table.
-func (holdtable *holdTable) settle(reserved *reservation, noEffect bool) {
+// endProposal records that a proposal of the reservation has ended. A change that is
+// known to have no effect is discarded; any other stays reserved until the catalog shows
+// a later table.
+func (holdtable *holdTable) endProposal(reserved *reservation, noEffect bool) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	reserved.proposing = false
--- a/internal/control/steer/trace.go
+++ b/internal/control/steer/trace.go
@@ -12,8 +12,9 @@
 // maxLoggedRanges bounds the key ranges that one log field lists.
 const maxLoggedRanges = 16
 
-// grant is a decision which key ranges an upstream may hold, and its inputs.
-type grant struct {
+// grantDecision says which key ranges an upstream may hold, and on what that was
+// decided.
+type grantDecision struct {
 	term uint64
 	// index is the index of the catalog that the decision used.
 	index               uint64
@@ -28,19 +29,19 @@
 
 // logGrant logs the reply to a heartbeat if it grants other key ranges than the
 // upstream reported, or if the upstream released some.
-func (coordinator *Coordinator) logGrant(heartbeat Heartbeat, grant grant) {
-	if len(heartbeat.Released) == 0 && coveredByGrant(heartbeat.Holds, grant.holds) && coveredByGrant(grant.holds, heartbeat.Holds) {
+func (coordinator *Coordinator) logGrant(heartbeat Heartbeat, decision grantDecision) {
+	if len(heartbeat.Released) == 0 && coveredByGrant(heartbeat.Holds, decision.holds) && coveredByGrant(decision.holds, heartbeat.Holds) {
 		return
 	}
 	coordinator.log.WithField("upstream", heartbeat.Instance.ID).WithField("service", heartbeat.Instance.Service).
 		WithField("born", heartbeat.Instance.Born).WithField("sequence", heartbeat.Sequence).
-		WithField("term", grant.term).WithField("index", grant.index).
-		WithField("after", grant.decidedAt.Sub(grant.received).String()).
-		WithField("holdsFor", grant.holdsUntil.Sub(grant.decidedAt).String()).
+		WithField("term", decision.term).WithField("index", decision.index).
+		WithField("after", decision.decidedAt.Sub(decision.received).String()).
+		WithField("holdsFor", decision.holdsUntil.Sub(decision.decidedAt).String()).
 		WithField("held", formatHolds(heartbeat.Holds)).WithField("released", formatReleases(heartbeat.Released)).
-		WithField("granted", formatHolds(grant.holds)).WithField("moving", formatSpans(grant.moving)).
-		WithField("reserved", formatSpans(grant.reserved)).
-		WithField("withheld", formatSpans(grant.withheld)).Info(logPrefix + "granted holds changed")
+		WithField("granted", formatHolds(decision.holds)).WithField("moving", formatSpans(decision.moving)).
+		WithField("reserved", formatSpans(decision.reserved)).
+		WithField("withheld", formatSpans(decision.withheld)).Info(logPrefix + "granted holds changed")
 }
 
 // logReassigned logs the reserved changes that rely on an owner holding nothing, and
