Bound the head of an upstream's response

What callers saw: nothing until the deadline, while the entry host buffered all that the upstream sent; on the users' platform a host over its memory is killed, with all its requests.

Cause: pool reads heads with http.ReadResponse, whose line and header readers have no limit (net/http's own transport sets one on its connection), and skipped interim responses without counting them. Only the request's deadline ended either.

Evidence: TestEndlessHead, an upstream that writes up to 32 MiB and stops when its connection is closed. Before, 7 of 9 cases read all 32 MiB and then reported "lost" (header line, header lines, continuation lines, interim responses, status line, bytes without a line, null bytes); blank lines and lines that are no response were right. After, all 9 end as "garbled" with the connection closed before the 32 MiB.

Ruled out: a smaller read buffer (the readers grow their own), a shorter deadline (a silent upstream is no reason to end a request sooner).

A head of 48 KiB passes (TestSend, "long head"; it passed before too).

Why it works: every byte of a head passes conn.Read, so no reader above it can buffer more. The result is "garbled", which may have run: no repeat of what isn't idempotent.

--- /dev/null
+++ b/internal/dispatch/pool/endless_test.go
@@ -0,0 +1,99 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// blockBytes is the least that an endless upstream writes at once.
+const blockBytes = 64 << 10
+
+// endless is a stand-in upstream that answers each request with the head and then
+// repeats the unit until its connection is closed or it has written the limit.
+type endless struct {
+	listener net.Listener
+	head     string
+	unit     string
+	limit    int
+	// cut receives, for each connection, whether it was closed before the limit.
+	cut chan bool
+	// requests receives the ID of each request.
+	requests chan string
+}
+
+func startEndless(t *testing.T, head, unit string, limit int) *endless {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	endless := &endless{listener: listener, head: head, unit: unit, limit: limit, cut: make(chan bool, 64), requests: make(chan string, 64)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go endless.serve(conn)
+		}
+	}()
+	return endless
+}
+
+func (endless *endless) serve(conn net.Conn) {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	endless.requests <- request.Header.Get("Id")
+	_, err = conn.Write([]byte(endless.head))
+	block := []byte(strings.Repeat(endless.unit, 1+blockBytes/len(endless.unit)))
+	for written := 0; err == nil && written < endless.limit; written += len(block) {
+		_, err = conn.Write(block)
+	}
+	endless.cut <- err != nil
+}
+
+func (endless *endless) address() netip.AddrPort {
+	return netip.MustParseAddrPort(endless.listener.Addr().String())
+}
+
+// TestEndlessHead guards against a response head without end, which was buffered
+// until the request's deadline.
+func TestEndlessHead(t *testing.T) {
+	cases := []struct{ name, head, unit string }{
+		{"header line", "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X: y\r\n"},
+		{"continuation lines", "HTTP/1.1 200 OK\r\nId: 1\r\nX: y\r\n", " z\r\n"},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"bytes without a line", "", "x"},
+		{"blank lines", "", "\r\n"},
+		{"null bytes", "", "\x00"},
+		{"lines that are no response", "", "garbage\r\n"},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := startEndless(t, testcase.head, testcase.unit, 32<<20)
+			ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+			defer cancel()
+			_, failure := newPool().Send(ctx, endless.address(), newRequest("1"))
+			is.True(failure != nil)
+			is.Equal(failure.Failure, FailureGarbled)
+			is.True(failure.MayHaveRun())
+			is.True(<-endless.cut)
+			is.Equal(len(endless.requests), 1) // not repeated
+		})
+	}
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -37,6 +37,9 @@
 	maxStaleResponses = 4
 	// maxIdle bounds the idle connections to one upstream.
 	maxIdle = 8
+	// maxHeadBytes bounds the head of a response together with the interim responses
+	// before it.
+	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 8 << 10
 	// sweepInterval is the minimum time between two sweeps for idle connections that
@@ -112,10 +115,18 @@
 	closed  bool
 }
 
+// errHeadTooLong is returned by reads beyond maxHeadBytes.
+var errHeadTooLong = Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+
 	reader *bufio.Reader
+	// readsHead is set while a head is read, and headLeft is the number of bytes that
+	// may still be read for it.
+	readsHead bool
+	headLeft  int
 	// reusableUntil is when the connection is too old to be reused, as the upstream
 	// may be about to close it.
 	reusableUntil time.Time
@@ -178,7 +189,23 @@
 	if err != nil {
 		return nil, Error.New("dial: %w", err)
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	connection := &conn{Conn: opened}
+	connection.reader = bufio.NewReaderSize(connection, readBufferBytes)
+	return connection, nil
+}
+
+// Read reads from the socket. While a head is read, it fails after maxHeadBytes, as
+// the readers of net/http buffer a head of any length.
+func (conn *conn) Read(data []byte) (int, error) {
+	if !conn.readsHead {
+		return conn.Conn.Read(data) //nolint:wrapcheck // io.EOF must not be wrapped
+	}
+	if conn.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	count, err := conn.Conn.Read(data[:min(len(data), conn.headLeft)])
+	conn.headLeft -= count
+	return count, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil if
@@ -311,29 +338,39 @@
 	}
 }
 
-// read reads one response and reports whether the connection stays open after it.
-func (conn *conn) read(method string) (*Response, bool, error) {
+// readHead reads the head of a response, and skips interim (1xx) responses before it.
+func (conn *conn) readHead(method string) (*http.Response, error) {
+	conn.readsHead, conn.headLeft = true, maxHeadBytes
+	defer func() { conn.readsHead = false }()
 	for {
 		received, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, false, Error.New("read response: %w", err)
+			return nil, Error.New("read response: %w", err)
 		}
-		if received.StatusCode < http.StatusOK && received.StatusCode != http.StatusSwitchingProtocols {
-			continue // an interim (1xx) response
+		if received.StatusCode >= http.StatusOK || received.StatusCode == http.StatusSwitchingProtocols {
+			return received, nil
 		}
-		body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
-		_ = received.Body.Close()
-		switch {
-		case err != nil:
-			return nil, false, Error.New("read body: %w", err)
-		case len(body) > maxResponseBytes:
-			return nil, false, Error.New("the response is longer than %d bytes", maxResponseBytes)
-		}
-		response := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
-		return response, !received.Close && received.StatusCode != http.StatusSwitchingProtocols, nil
 	}
 }
 
+// read reads one response and reports whether the connection stays open after it.
+func (conn *conn) read(method string) (*Response, bool, error) {
+	received, err := conn.readHead(method)
+	if err != nil {
+		return nil, false, err
+	}
+	body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
+	_ = received.Body.Close()
+	switch {
+	case err != nil:
+		return nil, false, Error.New("read body: %w", err)
+	case len(body) > maxResponseBytes:
+		return nil, false, Error.New("the response is longer than %d bytes", maxResponseBytes)
+	}
+	response := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
+	return response, !received.Close && received.StatusCode != http.StatusSwitchingProtocols, nil
+}
+
 // idleTime returns how long a connection may be reused after a response with the
 // header.
 func idleTime(header http.Header) time.Duration {
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,7 @@
 		{"complete response", script{responses: []string{responseText("1", "body")}}, "body", ""},
 		{"no length, body ends with the connection", script{responses: []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody"}}, "body", ""},
 		{"interim response first", script{responses: []string{"HTTP/1.1 100 Continue\r\n\r\n" + responseText("1", "body")}}, "body", ""},
+		{"long head", script{responses: []string{"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 48<<10) + "\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody"}}, "body", ""},
 		{"response to an earlier request first", script{responses: []string{responseText("0", "other") + responseText("1", "body")}}, "body", ""},
 		{"only a response to an earlier request", script{responses: []string{responseText("0", "other")}}, "", FailureLost},
 		{"closed within the body", script{responses: []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nbody"}}, "", FailureLost},
