Close the connection at once when a response is too long

What callers saw: a response over 64 MiB without end held the request until its deadline, though it was lost already: an idempotent one was never tried elsewhere, and the host went on reading at full speed.

Cause: after the limit, read closed the body, and http.ReadResponse's body reads up to its end when it is closed, unless the connection closes after it.

Evidence: TestEndlessBody, an upstream that writes up to 192 MiB and stops when its connection is closed.

Ruled out: closing the body after the connection. It would work but reads what the socket still holds.

Change: the body is not closed; it holds nothing but the reader of the connection, which Send closes.

--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -97,3 +97,51 @@
 		})
 	}
 }
+
+// TestEndlessBody guards against a response body without end. One that was longer
+// than the limit was given up, but the rest of it was still read until the request's
+// deadline.
+func TestEndlessBody(t *testing.T) {
+	const (
+		status  = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+		chunked = status + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	block := strings.Repeat("x", blockBytes)
+	cases := []struct{ name, head, unit string }{
+		{"long length", status + "Content-Length: 1000000000000\r\n\r\n", block},
+		{"chunks", chunked, "10000\r\n" + block + "\r\n"},
+		{"until the connection closes", status + "\r\n", block},
+		{"until the connection closes, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n", block},
+		{"chunk size", chunked, "0"},
+		{"chunk extension", chunked + "1;", "x"},
+		{"chunk extensions", chunked, "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
+		{"trailer line", chunked + "0\r\nX: ", "x"},
+		{"trailer lines", chunked + "0\r\n", "X: y\r\n"},
+		{"bytes after a chunk", chunked + "1\r\nx", "x"},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := startEndless(t, testcase.head, testcase.unit, 3*maxResponseBytes)
+			ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+			defer cancel()
+			_, failure := newPool().Send(ctx, endless.address(), newRequest("1"))
+			is.True(failure != nil)
+			is.Equal(failure.Failure, FailureGarbled)
+			is.True(failure.MayHaveRun())
+			is.True(<-endless.cut)
+			is.Equal(len(endless.requests), 1) // not repeated
+		})
+	}
+}
+
+// TestLengthWithoutBody guards against taking the length in a response to HEAD for
+// that of a body that is too long.
+func TestLengthWithoutBody(t *testing.T) {
+	is := is.New(t)
+	standin := startStandIn(t, script{responses: []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1000000000000\r\n\r\n"}})
+	request := newRequest("1")
+	request.Method = http.MethodHead
+	_, failure := newPool().Send(t.Context(), standin.address(), request)
+	is.Equal(failure, nil)
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -115,8 +115,11 @@
 	closed  bool
 }
 
-// errHeadTooLong is returned by reads beyond maxHeadBytes.
-var errHeadTooLong = Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
+var (
+	// errHeadTooLong is returned by reads beyond maxHeadBytes.
+	errHeadTooLong = Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
+	errBodyTooLong = Error.New("the response is longer than %d bytes", maxResponseBytes)
+)
 
 // conn is a connection to an upstream.
 type conn struct {
@@ -355,17 +358,19 @@
 
 // read reads one response and reports whether the connection stays open after it.
 func (conn *conn) read(method string) (*Response, bool, error) {
-	received, err := conn.readHead(method)
+	received, err := conn.readHead(method) //nolint:bodyclose // closing the body reads what is left of it
 	if err != nil {
 		return nil, false, err
 	}
+	if received.Body != http.NoBody && received.ContentLength > maxResponseBytes {
+		return nil, false, errBodyTooLong
+	}
 	body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
-	_ = received.Body.Close()
 	switch {
 	case err != nil:
 		return nil, false, Error.New("read body: %w", err)
 	case len(body) > maxResponseBytes:
-		return nil, false, Error.New("the response is longer than %d bytes", maxResponseBytes)
+		return nil, false, errBodyTooLong
 	}
 	response := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
 	return response, !received.Close && received.StatusCode != http.StatusSwitchingProtocols, nil
