Discard late responses instead of buffering them

What callers saw: a late response to an earlier request held the next one up until its body had come in full, even where the connection could not be used after it, and the host buffered up to 64 MiB for bytes that nobody waits for.

Cause: read took the whole response, and only then did receive look whose it was.

Evidence: TestEndlessLateResponse, with the bytes that Send allocates and whether the upstream was cut off. Before, 4 of 5 cases failed: a late response that ends with its connection was read to the end of the 32 MiB that the stand-in offers (2 cases), one in chunks without end and one of 60 MB were buffered.

Change: the head decides. A late response after which the connection closes fails the request at once; any other is read past in the reader's own buffer, up to the 64 MiB that bound a response.

After: all 5 cut off, each with less than 16 MiB allocated. TestSend's late responses before the right one pass as before.

--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -145,3 +146,37 @@
 	_, failure := newPool().Send(t.Context(), standin.address(), request)
 	is.Equal(failure, nil)
 }
+
+// TestEndlessLateResponse guards against reading the body of a response to an earlier
+// request for longer than it takes to know that it is of no use: one that ends with
+// the connection was read to its end, and any other was buffered.
+func TestEndlessLateResponse(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\nId: 0\r\n"
+	block := strings.Repeat("x", blockBytes)
+	cases := []struct {
+		name, head, unit string
+		limit            int
+	}{
+		{"until the connection closes", status + "\r\n", block, maxResponseBytes / 2},
+		{"connection closes after the response", status + "Connection: close\r\nContent-Length: 60000000\r\n\r\n", block, maxResponseBytes / 2},
+		{"chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n", 3 * maxResponseBytes},
+		{"long length", status + "Content-Length: 1000000000000\r\n\r\n", block, 3 * maxResponseBytes},
+		{"no more than the late response", status + "Content-Length: 60000000\r\n\r\n", block, 3 * maxResponseBytes},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := startEndless(t, testcase.head, testcase.unit, testcase.limit)
+			ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, failure := newPool().Send(ctx, endless.address(), newRequest("1"))
+			runtime.ReadMemStats(&after)
+			is.True(failure != nil)
+			is.Equal(failure.Failure, FailureGarbled)
+			is.True(<-endless.cut)
+			is.True(after.TotalAlloc-before.TotalAlloc < maxResponseBytes/4) // not buffered
+		})
+	}
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -119,6 +119,8 @@
 	// errHeadTooLong is returned by reads beyond maxHeadBytes.
 	errHeadTooLong = Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
 	errBodyTooLong = Error.New("the response is longer than %d bytes", maxResponseBytes)
+
+	errOtherRequest = Error.New("the response belongs to another request")
 )
 
 // conn is a connection to an upstream.
@@ -317,26 +319,43 @@
 // receive reads the response that belongs to the request, and reports whether the
 // connection can be reused. Late responses to earlier requests are skipped.
 func (conn *conn) receive(ctx context.Context, pool *Pool, request *Request) (*Response, bool, *SendError) {
-	stale := 0
-	for {
-		response, reusable, err := conn.read(request.Method)
+	response, reusable, err := conn.read(pool, request)
+	if err == nil {
+		return response, reusable, nil
+	}
+	failure := FailureGarbled
+	var netErr net.Error
+	switch {
+	case ctx.Err() != nil:
+		failure = FailureTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &netErr):
+		failure = FailureLost
+	}
+	return nil, false, &SendError{Failure: failure, Cause: err}
+}
+
+// read implements receive. It never closes a body, since that would read what is left
+// of it.
+func (conn *conn) read(pool *Pool, request *Request) (*Response, bool, error) {
+	for stale := 0; ; stale++ {
+		received, err := conn.readHead(request.Method) //nolint:bodyclose // see above
 		if err != nil {
-			failure := FailureGarbled
-			var netErr net.Error
-			switch {
-			case ctx.Err() != nil:
-				failure = FailureTimeout
-			case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &netErr):
-				failure = FailureLost
-			}
-			return nil, false, &SendError{Failure: failure, Cause: err}
+			return nil, false, err
 		}
-		if pool.Matches(request, response.Header) {
+		reusable := !received.Close && received.StatusCode != http.StatusSwitchingProtocols
+		if pool.Matches(request, received.Header) {
+			body, err := readBody(received)
+			if err != nil {
+				return nil, false, err
+			}
+			response := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
 			return response, reusable && stale == 0 && conn.reader.Buffered() == 0, nil
 		}
-		stale++
-		if !reusable || stale > maxStaleResponses {
-			return nil, false, &SendError{Failure: FailureGarbled, Cause: Error.New("the response belongs to another request")}
+		if !reusable || stale == maxStaleResponses {
+			return nil, false, errOtherRequest
+		}
+		if err := discardBody(received); err != nil {
+			return nil, false, err
 		}
 	}
 }
@@ -356,24 +375,34 @@
 	}
 }
 
-// read reads one response and reports whether the connection stays open after it.
-func (conn *conn) read(method string) (*Response, bool, error) {
-	received, err := conn.readHead(method) //nolint:bodyclose // closing the body reads what is left of it
-	if err != nil {
-		return nil, false, err
-	}
+// readBody reads the body of a response to its end.
+func readBody(received *http.Response) ([]byte, error) {
 	if received.Body != http.NoBody && received.ContentLength > maxResponseBytes {
-		return nil, false, errBodyTooLong
+		return nil, errBodyTooLong
 	}
 	body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
 	switch {
 	case err != nil:
-		return nil, false, Error.New("read body: %w", err)
+		return nil, Error.New("read body: %w", err)
 	case len(body) > maxResponseBytes:
-		return nil, false, errBodyTooLong
+		return nil, errBodyTooLong
+	}
+	return body, nil
+}
+
+// discardBody reads the body of a late response to its end, without buffering it.
+func discardBody(received *http.Response) error {
+	if received.Body != http.NoBody && received.ContentLength > maxResponseBytes {
+		return errBodyTooLong
+	}
+	count, err := io.Copy(io.Discard, io.LimitReader(received.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return Error.New("discard body: %w", err)
+	case count > maxResponseBytes:
+		return errBodyTooLong
 	}
-	response := &Response{Status: received.StatusCode, Header: received.Header, Body: body}
-	return response, !received.Close && received.StatusCode != http.StatusSwitchingProtocols, nil
+	return nil
 }
 
 // idleTime returns how long a connection may be reused after a response with the
