Bound the memory of all responses that are being read

What callers saw: an entry host's process would have been killed with all its requests. 64 MiB bound one response, nothing bounded all of them: an upstream that sends without end to as many requests as it has connections fills the memory of the host, which is a few hundred MiB on the users' platform. Growing one body also copied it, so that 64 MiB took over twice that.

Cause: io.ReadAll for each response, no account across them.

Evidence: TestBodiesOfAllResponses, eight responses of 24 MiB so far whose upstream then waits. After, six are given up ("garbled", connection closed), two stay, and a request to another upstream is answered.

Ruled out: a lower limit for one response (a long answer needs it); passing bodies on to the caller as they come (a response that fails midway could not be repeated elsewhere, and a caller would see a failed answer as a broken connection); a limit that fails the response that exceeds it (that would be any small one next to the endless).

Change: bodies are read in pieces that are never copied, and counted from the second piece on. When several together exceed 64 MiB, the longest is given up. The limit for one response is exact as before.

What stays: bodies that wait for a slow caller after they are complete are not counted.

Why it works: what is counted is at most 64 MiB and one piece of 1 MiB, since each piece is counted before it is allocated, and the reader that loses its connection returns at once.

--- /dev/null
+++ b/internal/dispatch/pool/body.go
@@ -0,0 +1,187 @@
+package pool
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+const (
+	// maxResponseBytes bounds the body of a response.
+	maxResponseBytes = 64 << 20
+	// maxBufferedBytes bounds the bodies of all responses that are being read, so that
+	// several upstreams that send without end do not use up the host's memory.
+	maxBufferedBytes = 64 << 20
+	// minPieceBytes and maxPieceBytes bound the size of a piece of a body of unknown
+	// length; the size doubles with the body.
+	minPieceBytes = 4 << 10
+	maxPieceBytes = 1 << 20
+	// maxFirstPieceBytes bounds the first piece of a body, which is not counted.
+	maxFirstPieceBytes = 64 << 10
+)
+
+var (
+	errBodyTooLong  = Error.New("the response is longer than %d bytes", maxResponseBytes)
+	errBuffersFull  = Error.New("the responses being read are longer than %d bytes, and this is the longest", maxBufferedBytes)
+	errOtherRequest = Error.New("the response belongs to another request")
+)
+
+// Body is a response's whole body, in pieces.
+type Body [][]byte
+
+// Len returns the length of the body in bytes.
+func (body Body) Len() int {
+	length := 0
+	for _, piece := range body {
+		length += len(piece)
+	}
+	return length
+}
+
+// WriteTo implements io.WriterTo.
+func (body Body) WriteTo(writer io.Writer) (int64, error) {
+	written := int64(0)
+	for _, piece := range body {
+		count, err := writer.Write(piece)
+		written += int64(count)
+		if err != nil {
+			return written, Error.New("write body: %w", err)
+		}
+	}
+	return written, nil
+}
+
+// bodies accounts for the bodies that are being read. The zero value is ready to use.
+type bodies struct {
+	mutex sync.Mutex
+	total int
+	held  map[*conn]int
+}
+
+// add accounts for more bytes of a connection's body. Once several bodies together are
+// longer than maxBufferedBytes, it gives up the longest and closes its connection. It
+// returns errBuffersFull if that was the connection's own body.
+func (bodies *bodies) add(connection *conn, count int) error {
+	bodies.mutex.Lock()
+	defer bodies.mutex.Unlock()
+	if connection.givenUp {
+		return errBuffersFull
+	}
+	if bodies.held == nil {
+		bodies.held = map[*conn]int{}
+	}
+	bodies.held[connection] += count
+	bodies.total += count
+	for bodies.total > maxBufferedBytes && len(bodies.held) > 1 {
+		bodies.giveUpLongest()
+	}
+	if connection.givenUp {
+		return errBuffersFull
+	}
+	return nil
+}
+
+func (bodies *bodies) giveUpLongest() {
+	var longest *conn
+	for connection, count := range bodies.held {
+		if longest == nil || count > bodies.held[longest] {
+			longest = connection
+		}
+	}
+	bodies.total -= bodies.held[longest]
+	delete(bodies.held, longest)
+	longest.givenUp = true
+	_ = longest.Close()
+}
+
+// remove ends the accounting of a connection's body, and reports whether it was given
+// up.
+func (bodies *bodies) remove(connection *conn) bool {
+	bodies.mutex.Lock()
+	defer bodies.mutex.Unlock()
+	bodies.total -= bodies.held[connection]
+	delete(bodies.held, connection)
+	return connection.givenUp
+}
+
+// readBody reads the body of a response to its end.
+func (conn *conn) readBody(pool *Pool, received *http.Response) (Body, error) {
+	if received.Body == http.NoBody {
+		return nil, nil
+	}
+	if received.ContentLength > maxResponseBytes {
+		return nil, errBodyTooLong
+	}
+	body, err := conn.readPieces(pool, received)
+	if pool.bodies.remove(conn) {
+		return nil, errBuffersFull
+	}
+	return body, err
+}
+
+func (conn *conn) readPieces(pool *Pool, received *http.Response) (Body, error) {
+	var body Body
+	for length := 0; ; {
+		size := pieceSize(length, int(received.ContentLength))
+		if length > 0 {
+			if err := pool.bodies.add(conn, size); err != nil {
+				return nil, err
+			}
+		}
+		piece := make([]byte, size)
+		filled, err := fill(received.Body, piece)
+		body = append(body, piece[:filled])
+		length += filled
+		switch {
+		case length > maxResponseBytes:
+			return nil, errBodyTooLong
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, Error.New("read body: %w", err)
+		}
+	}
+}
+
+// pieceSize returns the size of the next piece of a body of which length bytes have
+// been read; whole is its length, negative if that is not known.
+func pieceSize(length, whole int) int {
+	switch {
+	case whole < 0:
+		return min(max(length, minPieceBytes), maxPieceBytes)
+	case length == 0:
+		return min(whole, maxFirstPieceBytes)
+	default:
+		return min(max(1, whole-length), maxPieceBytes)
+	}
+}
+
+// fill reads until the piece is full or the body ends. Unlike io.ReadFull it returns
+// the error of a body that ends too early as it is.
+func fill(body io.Reader, piece []byte) (int, error) {
+	filled := 0
+	for filled < len(piece) {
+		count, err := body.Read(piece[filled:])
+		filled += count
+		if err != nil {
+			return filled, err //nolint:wrapcheck // io.EOF must not be wrapped
+		}
+	}
+	return filled, nil
+}
+
+// discardBody reads the body of a late response to its end, without buffering it.
+func discardBody(received *http.Response) error {
+	if received.Body != http.NoBody && received.ContentLength > maxResponseBytes {
+		return errBodyTooLong
+	}
+	count, err := io.Copy(io.Discard, io.LimitReader(received.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return Error.New("discard body: %w", err)
+	case count > maxResponseBytes:
+		return errBodyTooLong
+	}
+	return nil
+}
--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -23,6 +24,8 @@
 	head     string
 	unit     string
 	limit    int
+	// holds keeps the connection open after the limit.
+	holds bool
 	// cut receives, for each connection, whether it was closed before the limit.
 	cut chan bool
 	// requests receives the ID of each request.
@@ -30,6 +33,11 @@
 }
 
 func startEndless(t *testing.T, head, unit string, limit int) *endless {
+	t.Helper()
+	return endless{head: head, unit: unit, limit: limit}.start(t)
+}
+
+func (endless endless) start(t *testing.T) *endless {
 	t.Helper()
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -37,7 +45,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	endless := &endless{listener: listener, head: head, unit: unit, limit: limit, cut: make(chan bool, 64), requests: make(chan string, 64)}
+	endless.listener, endless.cut, endless.requests = listener, make(chan bool, 64), make(chan string, 64)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -47,7 +55,7 @@
 			go endless.serve(conn)
 		}
 	}()
-	return endless
+	return &endless
 }
 
 func (endless *endless) serve(conn net.Conn) {
@@ -62,6 +70,9 @@
 	for written := 0; err == nil && written < endless.limit; written += len(block) {
 		_, err = conn.Write(block)
 	}
+	if endless.holds {
+		_, err = conn.Read(make([]byte, 1))
+	}
 	endless.cut <- err != nil
 }
 
@@ -180,3 +191,76 @@
 		})
 	}
 }
+
+// TestBodiesOfAllResponses guards against buffering more than the limit for the bodies
+// of many responses at once, each of which is within the limit for one.
+func TestBodiesOfAllResponses(t *testing.T) {
+	const senders, fitting = 8, 2
+	is := is.New(t)
+	endless := endless{
+		head: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", unit: strings.Repeat("x", blockBytes), limit: maxResponseBytes * 3 / 8, holds: true,
+	}.start(t)
+	healthy := startStandIn(t, script{responses: []string{responseText("2", "body")}})
+	pool := newPool()
+	ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+	defer cancel()
+	failures := make(chan Failure, senders)
+	for range senders {
+		go func() {
+			_, failure := pool.Send(ctx, endless.address(), newRequest("1"))
+			failures <- failure.Failure
+		}()
+	}
+	for range senders - fitting {
+		is.Equal(<-failures, FailureGarbled)
+		is.True(<-endless.cut)
+	}
+	_, failure := pool.Send(ctx, healthy.address(), newRequest("2"))
+	is.Equal(failure, nil) // others are not affected
+	cancel()
+	for range fitting {
+		is.Equal(<-failures, FailureTimeout)
+	}
+	is.Equal(pool.bodies.total, 0)
+}
+
+// TestLongBodies guards against losing or reordering bytes of a body that is read in
+// several pieces, up to the limit.
+func TestLongBodies(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	pattern := make([]byte, maxResponseBytes)
+	for position := range pattern {
+		pattern[position] = byte(position % 251)
+	}
+	for _, length := range []int{
+		0, 1, minPieceBytes - 1, minPieceBytes, minPieceBytes + 1, maxFirstPieceBytes, maxFirstPieceBytes + 1, 3*maxPieceBytes + 1,
+		maxResponseBytes,
+	} {
+		body := string(pattern[:length])
+		framings := []struct{ name, response string }{
+			{"length", status + "Content-Length: " + itoa(length) + "\r\n\r\n" + body},
+			{"one chunk", status + "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(length), 16) + "\r\n" + body + "\r\n0\r\n\r\n"},
+			{"until the connection closes", status + "\r\n" + body},
+		}
+		for _, framing := range framings {
+			if length == 0 && framing.name == "one chunk" {
+				continue // a chunk of length 0 is the last
+			}
+			t.Run(framing.name+" "+itoa(length), func(t *testing.T) {
+				is := is.New(t)
+				pool := newPool()
+				ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+				defer cancel()
+				response, failure := pool.Send(ctx, startStandIn(t, script{responses: []string{framing.response}}).address(), newRequest("1"))
+				is.Equal(failure, nil)
+				var received strings.Builder
+				written, err := response.Body.WriteTo(&received)
+				is.NoErr(err)
+				is.Equal(written, int64(length))
+				is.Equal(response.Body.Len(), length)
+				is.True(received.String() == body)
+				is.Equal(pool.bodies.total, 0)
+			})
+		}
+	}
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -45,8 +45,6 @@
 	// sweepInterval is the minimum time between two sweeps for idle connections that
 	// are too old to be reused.
 	sweepInterval = time.Second
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 64 << 20
 )
 
 // Request is a request to an upstream.
@@ -63,7 +61,7 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	Body   Body
 }
 
 // Failure classifies why a request got no response.
@@ -109,19 +107,15 @@
 	Matches func(request *Request, header http.Header) bool
 	Clock   clockwork.Clock
 
+	bodies  bodies
 	mutex   sync.Mutex
 	idle    map[netip.AddrPort][]*conn
 	sweptAt time.Time
 	closed  bool
 }
 
-var (
-	// errHeadTooLong is returned by reads beyond maxHeadBytes.
-	errHeadTooLong = Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
-	errBodyTooLong = Error.New("the response is longer than %d bytes", maxResponseBytes)
-
-	errOtherRequest = Error.New("the response belongs to another request")
-)
+// errHeadTooLong is returned by reads beyond maxHeadBytes.
+var errHeadTooLong = Error.New("the head of the response is longer than %d bytes", maxHeadBytes)
 
 // conn is a connection to an upstream.
 type conn struct {
@@ -132,6 +126,9 @@
 	// may still be read for it.
 	readsHead bool
 	headLeft  int
+	// givenUp is set once the response's body is given up. The mutex of bodies guards
+	// it.
+	givenUp bool
 	// reusableUntil is when the connection is too old to be reused, as the upstream
 	// may be about to close it.
 	reusableUntil time.Time
@@ -344,7 +341,7 @@
 		}
 		reusable := !received.Close && received.StatusCode != http.StatusSwitchingProtocols
 		if pool.Matches(request, received.Header) {
-			body, err := readBody(received)
+			body, err := conn.readBody(pool, received)
 			if err != nil {
 				return nil, false, err
 			}
@@ -375,36 +372,6 @@
 	}
 }
 
-// readBody reads the body of a response to its end.
-func readBody(received *http.Response) ([]byte, error) {
-	if received.Body != http.NoBody && received.ContentLength > maxResponseBytes {
-		return nil, errBodyTooLong
-	}
-	body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return nil, Error.New("read body: %w", err)
-	case len(body) > maxResponseBytes:
-		return nil, errBodyTooLong
-	}
-	return body, nil
-}
-
-// discardBody reads the body of a late response to its end, without buffering it.
-func discardBody(received *http.Response) error {
-	if received.Body != http.NoBody && received.ContentLength > maxResponseBytes {
-		return errBodyTooLong
-	}
-	count, err := io.Copy(io.Discard, io.LimitReader(received.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		return Error.New("discard body: %w", err)
-	case count > maxResponseBytes:
-		return errBodyTooLong
-	}
-	return nil
-}
-
 // idleTime returns how long a connection may be reused after a response with the
 // header.
 func idleTime(header http.Header) time.Duration {
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -151,7 +152,7 @@
 				return
 			}
 			is.Equal(failure, nil)
-			is.Equal(string(response.Body), testcase.body)
+			is.Equal(string(bytes.Join(response.Body, nil)), testcase.body)
 		})
 	}
 }
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -68,15 +68,15 @@
 	if _, typed := header["Content-Type"]; !typed {
 		header["Content-Type"] = nil // disables content sniffing in net/http
 	}
-	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	header.Set("Content-Length", strconv.Itoa(response.Body.Len()))
 	exchange.writer.WriteHeader(response.Status)
-	if _, err := exchange.writer.Write(response.Body); err != nil {
+	if _, err := response.Body.WriteTo(exchange.writer); err != nil {
 		exchange.logEvent("cannot write the response to the caller", permit, log.Fields{"cause": err.Error()})
 		return
 	}
 	took := exchange.relay.Clock.Now().Sub(exchange.arrived)
 	exchange.relay.Stats.Answered(exchange.service, exchange.workspace, took)
-	exchange.logEvent("request answered", permit, log.Fields{"status": response.Status, "bytes": len(response.Body)})
+	exchange.logEvent("request answered", permit, log.Fields{"status": response.Status, "bytes": response.Body.Len()})
 }
 
 // logEvent logs a decision about the request together with its inputs. The
