Close idle connections that hold unexpected bytes

What callers saw: no wrong answer, since a connection with unread bytes is not reused. But the host held it, with all that the upstream sends into the socket's buffer, until a later request to some upstream ended; a host without requests held it for good. On the users' platform unread bytes count as the process's memory, and the connection counts against the upstream's limit.

Cause: idle connections were looked through only when another one became idle, and only for their age.

Evidence: TestIdleConnections, an upstream that sends bytes on an idle connection, one or without end, and one that sends none. Before, all three connections stayed open (30 s in the test, with no end in the code). After, they are closed one second later on the fake clock, or when their idle time is over.

Ruled out: a reader for each idle connection as in net/http (a task and a buffer each).

The cost is one non-blocking system call for each idle connection a second; it was not measured on the users' platform. TestIdleConnectionStaysOpen guards the ones that may be reused; it passed at once.

--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -10,7 +10,9 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 )
 
@@ -26,6 +28,9 @@
 	limit    int
 	// holds keeps the connection open after the limit.
 	holds bool
+	// begin delays what follows the head until it is closed, and begun is closed once
+	// some of it has been written. Both may be nil.
+	begin, begun chan struct{}
 	// cut receives, for each connection, whether it was closed before the limit.
 	cut chan bool
 	// requests receives the ID of each request.
@@ -67,6 +72,11 @@
 	endless.requests <- request.Header.Get("Id")
 	_, err = conn.Write([]byte(endless.head))
 	block := []byte(strings.Repeat(endless.unit, 1+blockBytes/len(endless.unit)))
+	if endless.begin != nil {
+		<-endless.begin
+		_, err = conn.Write(block[:len(endless.unit)])
+		close(endless.begun)
+	}
 	for written := 0; err == nil && written < endless.limit; written += len(block) {
 		_, err = conn.Write(block)
 	}
@@ -264,3 +274,65 @@
 		}
 	}
 }
+
+// TestIdleConnections guards against keeping an idle connection that can't be reused,
+// with the bytes that its upstream sends on it, until a request to any upstream ends.
+func TestIdleConnections(t *testing.T) {
+	cases := []struct {
+		name     string
+		limit    int
+		advanced time.Duration
+	}{
+		{"bytes without end", 32 << 20, sweepInterval},
+		{"one byte", 0, sweepInterval},
+		{"idle for too long", 0, defaultIdleTime},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := endless{
+				head: responseText("1", "body"), unit: "x", limit: testcase.limit, holds: true,
+				begin: make(chan struct{}), begun: make(chan struct{}),
+			}.start(t)
+			clock := clockwork.NewFakeClock()
+			pool := newPool()
+			pool.Clock = clock
+			ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+			defer cancel()
+			_, failure := pool.Send(ctx, endless.address(), newRequest("1"))
+			is.Equal(failure, nil)
+			if testcase.advanced == sweepInterval {
+				close(endless.begin)
+				<-endless.begun
+			}
+			clock.Advance(testcase.advanced)
+			if testcase.advanced != sweepInterval {
+				close(endless.begin)
+			}
+			select {
+			case cut := <-endless.cut:
+				is.True(cut)
+			case <-ctx.Done():
+				is.Fail() // the connection stays open
+			}
+		})
+	}
+}
+
+// TestIdleConnectionStaysOpen guards against closing idle connections that may still be
+// reused.
+func TestIdleConnectionStaysOpen(t *testing.T) {
+	is := is.New(t)
+	standin := startStandIn(t, script{responses: []string{responseText("1", ""), responseText("2", "")}})
+	clock := clockwork.NewFakeClock()
+	pool := newPool()
+	pool.Clock = clock
+	for _, id := range []string{"1", "2"} {
+		_, failure := pool.Send(t.Context(), standin.address(), newRequest(id))
+		is.Equal(failure, nil)
+		clock.Advance(sweepInterval)
+		pool.sweep()
+	}
+	_, conns := standin.count()
+	is.Equal(conns, 1)
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -42,8 +42,8 @@
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 8 << 10
-	// sweepInterval is the minimum time between two sweeps for idle connections that
-	// are too old to be reused.
+	// sweepInterval is the time between two sweeps for idle connections that can't be
+	// reused.
 	sweepInterval = time.Second
 )
 
@@ -107,10 +107,11 @@
 	Matches func(request *Request, header http.Header) bool
 	Clock   clockwork.Clock
 
-	bodies  bodies
-	mutex   sync.Mutex
-	idle    map[netip.AddrPort][]*conn
-	sweptAt time.Time
+	bodies bodies
+	mutex  sync.Mutex
+	idle   map[netip.AddrPort][]*conn
+	// sweeper runs the next sweep; it is nil while no connection is idle.
+	sweeper clockwork.Timer
 	closed  bool
 }
 
@@ -238,20 +239,22 @@
 		pool.idle = map[netip.AddrPort][]*conn{}
 	}
 	pool.idle[address] = append(pool.idle[address], connection)
-	pool.closeExpired(now)
+	if pool.sweeper == nil {
+		pool.sweeper = pool.Clock.AfterFunc(sweepInterval, pool.sweep)
+	}
 }
 
-// closeExpired closes the idle connections that may no longer be reused, at most
-// once per sweepInterval.
-func (pool *Pool) closeExpired(now time.Time) {
-	if now.Sub(pool.sweptAt) < sweepInterval {
-		return
-	}
-	pool.sweptAt = now
+// sweep closes the idle connections that can't be reused: they are too old, closed by
+// the upstream, or hold bytes that it sent without a request. It runs once per
+// sweepInterval while any connection is idle.
+func (pool *Pool) sweep() {
+	now := pool.Clock.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	for address, idle := range pool.idle {
 		kept := idle[:0]
 		for _, connection := range idle {
-			if now.Before(connection.reusableUntil) {
+			if now.Before(connection.reusableUntil) && connection.usable() {
 				kept = append(kept, connection)
 				continue
 			}
@@ -262,6 +265,10 @@
 			delete(pool.idle, address)
 		}
 	}
+	pool.sweeper = nil
+	if len(pool.idle) > 0 {
+		pool.sweeper = pool.Clock.AfterFunc(sweepInterval, pool.sweep)
+	}
 }
 
 // CloseIdle closes the idle connections to an address whose upstream is gone.
@@ -281,6 +288,9 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.closed = true
+	if pool.sweeper != nil {
+		pool.sweeper.Stop()
+	}
 	for _, idle := range pool.idle {
 		for _, connection := range idle {
 			_ = connection.Close()
