Name what is wrong with an upstream's response

What engineers saw: "garbled" or "timeout" for an upstream that sends without end as for one that sends one wrong byte or none, with the reason only in the text of an error, and nothing at all for bytes after a complete response.

Cause: pool classifies by what may be done next (repeat or not), not by what happened.

Change: a failed request carries a reason (headTooLong, bodyTooLong, buffersFull, malformed, otherRequest, unfinished) and the number of bytes received. relay logs both (`fault`, `received`) and counts the reason (event "response"). Failures and the reasons of refusals and retries stay as they were. pool reports bytes after a complete response; direct counts and logs them, which is the only change outside pool and relay.

A lookup that its caller ended within a response is not counted: the response may be fine.

In development the reason of a head cut at its limit came out as "malformed", since the reader returns what it has of a line before the error; the limit now goes first.

--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -93,16 +93,19 @@
 // TestEndlessHead guards against a response head without end, which was buffered
 // until the request's deadline.
 func TestEndlessHead(t *testing.T) {
-	cases := []struct{ name, head, unit string }{
-		{"header line", "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "x"},
-		{"header lines", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X: y\r\n"},
-		{"continuation lines", "HTTP/1.1 200 OK\r\nId: 1\r\nX: y\r\n", " z\r\n"},
-		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-		{"status line", "HTTP/1.1 200 ", "x"},
-		{"bytes without a line", "", "x"},
-		{"blank lines", "", "\r\n"},
-		{"null bytes", "", "\x00"},
-		{"lines that are no response", "", "garbage\r\n"},
+	cases := []struct {
+		name, head, unit string
+		reason           Reason
+	}{
+		{"header line", "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "x", ReasonHeadTooLong},
+		{"header lines", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X: y\r\n", ReasonHeadTooLong},
+		{"continuation lines", "HTTP/1.1 200 OK\r\nId: 1\r\nX: y\r\n", " z\r\n", ReasonHeadTooLong},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", ReasonHeadTooLong},
+		{"status line", "HTTP/1.1 200 ", "x", ReasonHeadTooLong},
+		{"bytes without a line", "", "x", ReasonHeadTooLong},
+		{"blank lines", "", "\r\n", ReasonMalformed},
+		{"null bytes", "", "\x00", ReasonHeadTooLong},
+		{"lines that are no response", "", "garbage\r\n", ReasonMalformed},
 	}
 	for _, testcase := range cases {
 		t.Run(testcase.name, func(t *testing.T) {
@@ -113,6 +116,7 @@
 			_, failure := newPool().Send(ctx, endless.address(), newRequest("1"))
 			is.True(failure != nil)
 			is.Equal(failure.Failure, FailureGarbled)
+			is.Equal(failure.Reason, testcase.reason)
 			is.True(failure.MayHaveRun())
 			is.True(<-endless.cut)
 			is.Equal(len(endless.requests), 1) // not repeated
@@ -129,17 +133,20 @@
 		chunked = status + "Transfer-Encoding: chunked\r\n\r\n"
 	)
 	block := strings.Repeat("x", blockBytes)
-	cases := []struct{ name, head, unit string }{
-		{"long length", status + "Content-Length: 1000000000000\r\n\r\n", block},
-		{"chunks", chunked, "10000\r\n" + block + "\r\n"},
-		{"until the connection closes", status + "\r\n", block},
-		{"until the connection closes, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n", block},
-		{"chunk size", chunked, "0"},
-		{"chunk extension", chunked + "1;", "x"},
-		{"chunk extensions", chunked, "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
-		{"trailer line", chunked + "0\r\nX: ", "x"},
-		{"trailer lines", chunked + "0\r\n", "X: y\r\n"},
-		{"bytes after a chunk", chunked + "1\r\nx", "x"},
+	cases := []struct {
+		name, head, unit string
+		reason           Reason
+	}{
+		{"long length", status + "Content-Length: 1000000000000\r\n\r\n", block, ReasonBodyTooLong},
+		{"chunks", chunked, "10000\r\n" + block + "\r\n", ReasonBodyTooLong},
+		{"until the connection closes", status + "\r\n", block, ReasonBodyTooLong},
+		{"until the connection closes, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\n\r\n", block, ReasonBodyTooLong},
+		{"chunk size", chunked, "0", ReasonMalformed},
+		{"chunk extension", chunked + "1;", "x", ReasonMalformed},
+		{"chunk extensions", chunked, "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n", ReasonMalformed},
+		{"trailer line", chunked + "0\r\nX: ", "x", ReasonMalformed},
+		{"trailer lines", chunked + "0\r\n", "X: y\r\n", ReasonMalformed},
+		{"bytes after a chunk", chunked + "1\r\nx", "x", ReasonMalformed},
 	}
 	for _, testcase := range cases {
 		t.Run(testcase.name, func(t *testing.T) {
@@ -150,6 +157,7 @@
 			_, failure := newPool().Send(ctx, endless.address(), newRequest("1"))
 			is.True(failure != nil)
 			is.Equal(failure.Failure, FailureGarbled)
+			is.Equal(failure.Reason, testcase.reason)
 			is.True(failure.MayHaveRun())
 			is.True(<-endless.cut)
 			is.Equal(len(endless.requests), 1) // not repeated
@@ -177,12 +185,13 @@
 	cases := []struct {
 		name, head, unit string
 		limit            int
+		reason           Reason
 	}{
-		{"until the connection closes", status + "\r\n", block, maxResponseBytes / 2},
-		{"connection closes after the response", status + "Connection: close\r\nContent-Length: 60000000\r\n\r\n", block, maxResponseBytes / 2},
-		{"chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n", 3 * maxResponseBytes},
-		{"long length", status + "Content-Length: 1000000000000\r\n\r\n", block, 3 * maxResponseBytes},
-		{"no more than the late response", status + "Content-Length: 60000000\r\n\r\n", block, 3 * maxResponseBytes},
+		{"until the connection closes", status + "\r\n", block, maxResponseBytes / 2, ReasonOtherRequest},
+		{"connection closes after the response", status + "Connection: close\r\nContent-Length: 60000000\r\n\r\n", block, maxResponseBytes / 2, ReasonOtherRequest},
+		{"chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n", 3 * maxResponseBytes, ReasonBodyTooLong},
+		{"long length", status + "Content-Length: 1000000000000\r\n\r\n", block, 3 * maxResponseBytes, ReasonBodyTooLong},
+		{"garbage after the late response", status + "Content-Length: 60000000\r\n\r\n", block, 3 * maxResponseBytes, ReasonHeadTooLong},
 	}
 	for _, testcase := range cases {
 		t.Run(testcase.name, func(t *testing.T) {
@@ -196,6 +205,7 @@
 			runtime.ReadMemStats(&after)
 			is.True(failure != nil)
 			is.Equal(failure.Failure, FailureGarbled)
+			is.Equal(failure.Reason, testcase.reason)
 			is.True(<-endless.cut)
 			is.True(after.TotalAlloc-before.TotalAlloc < maxResponseBytes/4) // not buffered
 		})
@@ -214,22 +224,26 @@
 	pool := newPool()
 	ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
 	defer cancel()
-	failures := make(chan Failure, senders)
+	failures := make(chan *SendError, senders)
 	for range senders {
 		go func() {
 			_, failure := pool.Send(ctx, endless.address(), newRequest("1"))
-			failures <- failure.Failure
+			failures <- failure
 		}()
 	}
 	for range senders - fitting {
-		is.Equal(<-failures, FailureGarbled)
+		failure := <-failures
+		is.Equal(failure.Failure, FailureGarbled)
+		is.Equal(failure.Reason, ReasonBuffersFull)
 		is.True(<-endless.cut)
 	}
 	_, failure := pool.Send(ctx, healthy.address(), newRequest("2"))
 	is.Equal(failure, nil) // others are not affected
 	cancel()
 	for range fitting {
-		is.Equal(<-failures, FailureTimeout)
+		failure := <-failures
+		is.Equal(failure.Failure, FailureTimeout)
+		is.Equal(failure.Reason, ReasonUnfinished)
 	}
 	is.Equal(pool.bodies.total, 0)
 }
@@ -297,6 +311,8 @@
 			clock := clockwork.NewFakeClock()
 			pool := newPool()
 			pool.Clock = clock
+			unexpected := make(chan netip.AddrPort, 1)
+			pool.OnUnexpectedBytes = func(address netip.AddrPort) { unexpected <- address }
 			ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
 			defer cancel()
 			_, failure := pool.Send(ctx, endless.address(), newRequest("1"))
@@ -315,6 +331,9 @@
 			case <-ctx.Done():
 				is.Fail() // the connection stays open
 			}
+			if testcase.advanced == sweepInterval {
+				is.Equal(<-unexpected, endless.address())
+			}
 		})
 	}
 }
@@ -336,3 +355,45 @@
 	_, conns := standin.count()
 	is.Equal(conns, 1)
 }
+
+// TestUnfinishedResponse guards against taking a response that comes byte by byte for
+// none, or for a complete one, when its request ends.
+func TestUnfinishedResponse(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	cases := []struct {
+		name, head, unit string
+		reason           Reason
+	}{
+		{"no byte", "", "", ""},
+		{"head", "HTTP/1.1 200 OK\r\nX: ", "x", ReasonUnfinished},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", ReasonUnfinished},
+		{"body with a length", status + "Content-Length: 100\r\n\r\n", "x", ReasonUnfinished},
+		{"chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", ReasonUnfinished},
+		{"until the connection closes", status + "\r\n", "x", ReasonUnfinished},
+		{"late response", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 100\r\n\r\n", "x", ReasonUnfinished},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			client, upstream := net.Pipe()
+			connection := newConn(client)
+			ctx, cancel := context.WithCancel(context.Background())
+			stop := connection.interruptAfter(ctx)
+			defer stop()
+			go func() {
+				// A write to the pipe returns once it has been read.
+				_, _ = upstream.Write([]byte(testcase.head))
+				for range 10 {
+					_, _ = upstream.Write([]byte(testcase.unit))
+				}
+				cancel()
+			}()
+			response, _, failure := connection.receive(ctx, newPool(), newRequest("1"))
+			is.Equal(response, nil)
+			is.Equal(failure.Failure, FailureTimeout)
+			is.Equal(failure.Reason, testcase.reason)
+			is.Equal(failure.Received, len(testcase.head)+10*len(testcase.unit))
+			is.True(failure.MayHaveRun())
+		})
+	}
+}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -82,10 +82,33 @@
 	FailureTimeout Failure = "timeout"
 )
 
+// Reason names what is wrong with a response that was given up.
+type Reason string
+
+const (
+	// ReasonHeadTooLong means that the head is too long, interim responses included.
+	ReasonHeadTooLong Reason = "headTooLong"
+	// ReasonBodyTooLong means that the body is too long.
+	ReasonBodyTooLong Reason = "bodyTooLong"
+	// ReasonBuffersFull means that the body was the longest when those of all responses
+	// were too long together.
+	ReasonBuffersFull Reason = "buffersFull"
+	// ReasonOtherRequest means that the response belongs to another request.
+	ReasonOtherRequest Reason = "otherRequest"
+	// ReasonMalformed means that the response is not one of HTTP/1.
+	ReasonMalformed Reason = "malformed"
+	// ReasonUnfinished means that the context ended within the response.
+	ReasonUnfinished Reason = "unfinished"
+)
+
 // SendError is the error of a request that got no response.
 type SendError struct {
 	Failure Failure
-	Cause   error
+	// Reason is empty if the response did not begin, or ended with the connection.
+	Reason Reason
+	// Received is the number of bytes received after the request was sent.
+	Received int
+	Cause    error
 }
 
 // Error returns the failure and its cause.
@@ -105,7 +128,10 @@
 type Pool struct {
 	// Matches reports whether a response with the header belongs to the request.
 	Matches func(request *Request, header http.Header) bool
-	Clock   clockwork.Clock
+	// OnUnexpectedBytes, if set, is called when a connection is closed because the
+	// upstream sent bytes on it after a complete response.
+	OnUnexpectedBytes func(address netip.AddrPort)
+	Clock             clockwork.Clock
 
 	bodies bodies
 	mutex  sync.Mutex
@@ -127,6 +153,8 @@
 	// may still be read for it.
 	readsHead bool
 	headLeft  int
+	// received is the number of bytes read since the last request was sent.
+	received int
 	// givenUp is set once the response's body is given up. The mutex of bodies guards
 	// it.
 	givenUp bool
@@ -143,13 +171,17 @@
 	if err != nil {
 		return nil, dialError(err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
+	stop := connection.interruptAfter(ctx)
 	defer stop()
 	if _, err := connection.Write(request.encode()); err != nil {
 		_ = connection.Close()
 		return nil, &SendError{Failure: failureOf(ctx), Cause: Error.New("send request: %w", err)}
 	}
+	connection.received = 0
 	response, reusable, failure := connection.receive(ctx, pool, request)
+	if failure == nil && connection.reader.Buffered() > 0 {
+		pool.reportUnexpected(address)
+	}
 	if failure != nil || !reusable || !stop() {
 		_ = connection.Close()
 		return response, failure
@@ -180,10 +212,14 @@
 		if connection == nil {
 			break
 		}
-		if pool.Clock.Now().Before(connection.reusableUntil) && connection.usable() {
+		state := connection.state()
+		if pool.Clock.Now().Before(connection.reusableUntil) && state == stateUsable {
 			return connection, nil
 		}
 		_ = connection.Close()
+		if state == stateUnexpected {
+			pool.reportUnexpected(address)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -192,22 +228,33 @@
 	if err != nil {
 		return nil, Error.New("dial: %w", err)
 	}
+	return newConn(opened), nil
+}
+
+func newConn(opened net.Conn) *conn {
 	connection := &conn{Conn: opened}
 	connection.reader = bufio.NewReaderSize(connection, readBufferBytes)
-	return connection, nil
+	return connection
+}
+
+// interruptAfter interrupts reads and writes once the context ends, unless the returned
+// function is called before and returns true.
+func (conn *conn) interruptAfter(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 }
 
 // Read reads from the socket. While a head is read, it fails after maxHeadBytes, as
 // the readers of net/http buffer a head of any length.
 func (conn *conn) Read(data []byte) (int, error) {
-	if !conn.readsHead {
-		return conn.Conn.Read(data) //nolint:wrapcheck // io.EOF must not be wrapped
-	}
-	if conn.headLeft <= 0 {
-		return 0, errHeadTooLong
+	if conn.readsHead {
+		if conn.headLeft <= 0 {
+			return 0, errHeadTooLong
+		}
+		data = data[:min(len(data), conn.headLeft)]
 	}
-	count, err := conn.Conn.Read(data[:min(len(data), conn.headLeft)])
+	count, err := conn.Conn.Read(data)
 	conn.headLeft -= count
+	conn.received += count
 	return count, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
 
@@ -248,17 +295,28 @@
 // the upstream, or hold bytes that it sent without a request. It runs once per
 // sweepInterval while any connection is idle.
 func (pool *Pool) sweep() {
-	now := pool.Clock.Now()
+	for _, address := range pool.sweepIdle(pool.Clock.Now()) {
+		pool.reportUnexpected(address)
+	}
+}
+
+// sweepIdle returns the addresses of the connections that held unexpected bytes.
+func (pool *Pool) sweepIdle(now time.Time) []netip.AddrPort {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	var unexpected []netip.AddrPort
 	for address, idle := range pool.idle {
 		kept := idle[:0]
 		for _, connection := range idle {
-			if now.Before(connection.reusableUntil) && connection.usable() {
+			state := connection.state()
+			if now.Before(connection.reusableUntil) && state == stateUsable {
 				kept = append(kept, connection)
 				continue
 			}
 			_ = connection.Close()
+			if state == stateUnexpected {
+				unexpected = append(unexpected, address)
+			}
 		}
 		pool.idle[address] = kept
 		if len(kept) == 0 {
@@ -269,6 +327,13 @@
 	if len(pool.idle) > 0 {
 		pool.sweeper = pool.Clock.AfterFunc(sweepInterval, pool.sweep)
 	}
+	return unexpected
+}
+
+func (pool *Pool) reportUnexpected(address netip.AddrPort) {
+	if pool.OnUnexpectedBytes != nil {
+		pool.OnUnexpectedBytes(address)
+	}
 }
 
 // CloseIdle closes the idle connections to an address whose upstream is gone.
@@ -299,28 +364,45 @@
 	pool.idle = nil
 }
 
-// usable reports whether the connection is still open and has no unread data. It
-// peeks at the socket without blocking.
-func (conn *conn) usable() bool {
+// connState is the state of an idle connection.
+type connState uint8
+
+const (
+	stateUsable connState = iota
+	// stateUnexpected means that the upstream sent bytes without a request.
+	stateUnexpected
+	stateClosed
+)
+
+// state peeks at the socket of an idle connection without blocking.
+func (conn *conn) state() connState {
 	if conn.reader.Buffered() > 0 {
-		return false
+		return stateUnexpected
 	}
 	raw, ok := conn.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return stateClosed
 	}
 	rawConn, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return stateClosed
 	}
-	usable := false
+	state := stateClosed
 	err = rawConn.Read(func(descriptor uintptr) bool {
 		var buffer [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = errors.Is(recvErr, syscall.EAGAIN)
+		count, _, recvErr := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(recvErr, syscall.EAGAIN):
+			state = stateUsable
+		case recvErr == nil && count > 0:
+			state = stateUnexpected
+		}
 		return true
 	})
-	return err == nil && usable
+	if err != nil {
+		return stateClosed
+	}
+	return state
 }
 
 // receive reads the response that belongs to the request, and reports whether the
@@ -330,15 +412,36 @@
 	if err == nil {
 		return response, reusable, nil
 	}
-	failure := FailureGarbled
+	failure := &SendError{Failure: FailureGarbled, Received: conn.received, Cause: err}
 	var netErr net.Error
 	switch {
 	case ctx.Err() != nil:
-		failure = FailureTimeout
+		failure.Failure = FailureTimeout
+		if conn.received > 0 {
+			failure.Reason = ReasonUnfinished
+		}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &netErr):
-		failure = FailureLost
+		failure.Failure = FailureLost
+	default:
+		failure.Reason = reasonOf(err)
+	}
+	return nil, false, failure
+}
+
+// reasonOf returns what is wrong with a response that could not be read.
+func reasonOf(err error) Reason {
+	switch {
+	case errors.Is(err, errHeadTooLong):
+		return ReasonHeadTooLong
+	case errors.Is(err, errBodyTooLong):
+		return ReasonBodyTooLong
+	case errors.Is(err, errBuffersFull):
+		return ReasonBuffersFull
+	case errors.Is(err, errOtherRequest):
+		return ReasonOtherRequest
+	default:
+		return ReasonMalformed
 	}
-	return nil, false, &SendError{Failure: failure, Cause: err}
 }
 
 // read implements receive. It never closes a body, since that would read what is left
@@ -373,7 +476,10 @@
 	defer func() { conn.readsHead = false }()
 	for {
 		received, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case err != nil && conn.headLeft <= 0:
+			return nil, errHeadTooLong // the error may be that of a line cut at the limit
+		case err != nil:
 			return nil, Error.New("read response: %w", err)
 		}
 		if received.StatusCode >= http.StatusOK || received.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -409,8 +409,14 @@
 		exchange.possibleRuns++
 	}
 	exchange.logEvent("no response from the upstream", permit, log.Fields{
-		"failure": string(failure.Failure), "cause": failure.Cause.Error(), "mayHaveRun": exchange.mayHaveRun,
+		"failure": string(failure.Failure), "fault": string(failure.Reason), "received": failure.Received,
+		"cause": failure.Cause.Error(), "mayHaveRun": exchange.mayHaveRun,
 	})
+	// A caller that leaves ends an idempotent request within a response that may be fine.
+	left := exchange.route.Idempotent && exchange.request.Context().Err() != nil
+	if failure.Reason != "" && (!left || failure.Reason != pool.ReasonUnfinished) {
+		exchange.relay.Stats.Event("response", string(failure.Reason))
+	}
 	if ctx.Err() != nil {
 		exchange.fail("timeout")
 		return false
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -100,12 +100,17 @@
 // the age of the configuration's confirmation.
 func newRelay(t *testing.T, upstreams *upstreams, age time.Duration) *Relay {
 	t.Helper()
-	clock := clockwork.NewRealClock()
+	return newRelayWithClock(t, upstreams, age, clockwork.NewRealClock())
+}
+
+func newRelayWithClock(t *testing.T, upstreams *upstreams, age time.Duration, clock clockwork.Clock) *Relay {
+	t.Helper()
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	set, _, err := items.Set{}.Merge([]items.Item{
 		{Kind: items.KindService, Name: "jobs", Version: 1, Service: &items.Service{}},
 		{Kind: items.KindWorkspace, Name: "w", Version: 1, Workspace: &items.Workspace{Keys: []string{"k"}}},
-		route("look", true), route("book", false),
+		route("look", true, 20*time.Second), route("book", false, 20*time.Second),
+		route("short-look", true, 200*time.Millisecond), route("short-book", false, 200*time.Millisecond),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -131,9 +136,9 @@
 	}
 }
 
-func route(name string, idempotent bool) items.Item {
+func route(name string, idempotent bool, timeout time.Duration) items.Item {
 	return items.Item{Kind: items.KindRoute, Name: name, Version: 1, Route: &items.Route{
-		Host: "host", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: 20 * time.Second, Goal: 20 * time.Second,
+		Host: "host", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: timeout, Goal: 20 * time.Second,
 		Attempts: 2, Split: []items.WeightedService{{Service: "jobs", Weight: 1}},
 	}}
 }
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -114,8 +114,8 @@
 		client:           group.NewClient(settings.ControlHosts(), trust.Secret(settings.Peer.Secret)),
 		scheduler:        admit.NewScheduler(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
 		primaryScheduler: admit.NewExclusiveScheduler(options.Clock, rand.Uint64()),                  //nolint:gosec // spreads load
-		pool:             &pool.Pool{Matches: matches, Clock: options.Clock},
 	}
+	entry.pool = &pool.Pool{Matches: matches, Clock: options.Clock, OnUnexpectedBytes: entry.reportUnexpectedBytes}
 	if err := entry.openLinks(); err != nil {
 		entry.Kill()
 		return nil, err
@@ -141,6 +141,13 @@
 	return entry, nil
 }
 
+// reportUnexpectedBytes counts and logs a connection that was closed because the
+// upstream sent bytes on it after a complete response.
+func (entry *Entry) reportUnexpectedBytes(address netip.AddrPort) {
+	entry.options.Stats.Event("response", "unexpectedBytes")
+	entry.options.Log.WithField("address", address.String()).Warn(logPrefix + "closed a connection on which the upstream sent bytes after its response")
+}
+
 // openLinks opens the links to other entry hosts, over which permits are requested
 // and granted.
 func (entry *Entry) openLinks() error {
