Bound the cause in relay's log lines

What engineers saw: a log line as long as the garbage that an upstream sent as status line, header line, length or encoding, one for each attempt.

Cause: errors of net/http quote the line that they could not parse, now up to 64 KiB of it (four times that where bytes are escaped, by reading) and without a bound before.

Evidence: TestLogLineIsBounded, 48 KiB of null bytes or letters in four places; all four failed before, all pass after.

Change: the cause in a log line is cut at 256 bytes. The error itself is as it was.

--- a/internal/entry/relay/endless_test.go
+++ b/internal/entry/relay/endless_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 )
@@ -229,3 +231,31 @@
 		})
 	}
 }
+
+// TestLogLineIsBounded guards against a log line that holds all that an upstream sent
+// instead of a response.
+func TestLogLineIsBounded(t *testing.T) {
+	cases := []struct{ name, response string }{
+		{"status line", strings.Repeat("\x00", 48<<10) + "\r\n"},
+		{"header line", "HTTP/1.1 200 OK\r\n" + strings.Repeat("\x00", 48<<10) + "\r\n\r\n"},
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("x", 48<<10) + "\r\n\r\n"},
+		{"transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", 48<<10) + "\r\n\r\n"},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			relay := newRelay(t, startUpstreams(t, testcase.response), 0)
+			handler := memory.New()
+			relay.Log = &log.Logger{Handler: handler}
+			relay.ServeHTTP(httptest.NewRecorder(), newCallerRequest("/book/x"))
+			causes := 0
+			for _, entry := range handler.Entries {
+				if cause, ok := entry.Fields["cause"].(string); ok {
+					causes++
+					is.True(len(cause) <= 300)
+				}
+			}
+			is.Equal(causes, 1)
+		})
+	}
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,8 @@
 	// defaultTimeout bounds requests whose caller states no timeout, in addition to
 	// the route's timeout.
 	defaultTimeout = time.Minute
+	// maxCauseBytes bounds the text of an error in a log line.
+	maxCauseBytes = 256
 )
 
 // RequestInfo holds the metadata that a request carries in its header.
@@ -410,7 +413,7 @@
 	}
 	exchange.logEvent("no response from the upstream", permit, log.Fields{
 		"failure": string(failure.Failure), "fault": string(failure.Reason), "received": failure.Received,
-		"cause": failure.Cause.Error(), "mayHaveRun": exchange.mayHaveRun,
+		"cause": shorten(failure.Cause.Error()), "mayHaveRun": exchange.mayHaveRun,
 	})
 	// A caller that leaves ends an idempotent request within a response that may be fine.
 	left := exchange.route.Idempotent && exchange.request.Context().Err() != nil
@@ -428,6 +431,14 @@
 	return exchange.retry(string(failure.Failure), permit)
 }
 
+// shorten bounds the text of an error, which may quote all that an upstream sent.
+func shorten(text string) string {
+	if len(text) <= maxCauseBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxCauseBytes], "") + "..."
+}
+
 // retry reports whether the retry budget allows another attempt, and responds to
 // the caller otherwise.
 func (exchange *exchange) retry(reason string, permit *permit.Permit) bool {
