Reject a grant response that is longer than its limit

What was seen: an upstream whose response to a grant goes on without end counted as one that had acknowledged it, if the first 64 KiB were an acknowledgement and blanks.

Cause: Grant read up to its limit and decoded what it had, without asking whether that was all.

Evidence: TestEndlessGrantResponse, seven responses without end to a grant. "body of spaces" was accepted before; all seven are errors now, with the connection closed and the next grant acknowledged over a new one (the client may open one at a time).

--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -282,9 +282,12 @@
 		return GrantAck{}, Error.New("send grant: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxGrantResponseBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxGrantResponseBytes+1))
+	switch {
+	case err != nil:
 		return GrantAck{}, Error.New("read grant response: %w", err)
+	case len(body) > maxGrantResponseBytes:
+		return GrantAck{}, Error.New("the grant response exceeds %d bytes", maxGrantResponseBytes)
 	}
 	if response.StatusCode != http.StatusOK {
 		return GrantAck{}, Error.New("unexpected response to grant: %s", response.Status)
--- /dev/null
+++ b/internal/dispatch/upstr/endless_test.go
@@ -0,0 +1,199 @@
+package upstr
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// endlessLimit is what an endless upstream writes at most, far more than any limit
+	// on a response.
+	endlessLimit = 32 << 20
+	longTimeout  = 30 * time.Second
+	smallBody    = 1000
+	wholeAck     = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"stamp\":7}"
+)
+
+// endless is a stand-in upstream that answers its first request with the head and then
+// with the unit until its connection is closed, and all later ones with the healthy
+// response.
+type endless struct {
+	address  netip.AddrPort
+	requests atomic.Int64
+	// cut receives whether the connection was closed before the limit.
+	cut chan bool
+	// begun is closed once the head and a unit have been written.
+	begun chan struct{}
+}
+
+// startEndless starts an endless upstream. If it holds, it sends nothing after the
+// first unit.
+func startEndless(t *testing.T, head, unit, healthy string, holds bool) *endless {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	endless := &endless{
+		address: netip.MustParseAddrPort(listener.Addr().String()), cut: make(chan bool, 1), begun: make(chan struct{}),
+	}
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if endless.requests.Add(1) > 1 {
+				_, _ = io.WriteString(conn, healthy)
+				continue
+			}
+			_, err = io.WriteString(conn, head+unit)
+			close(endless.begun)
+			if holds {
+				_, err = conn.Read(make([]byte, 1))
+			}
+			block := strings.Repeat(unit, 1+64<<10/len(unit))
+			for written := 0; err == nil && written < endlessLimit; written += len(block) {
+				_, err = io.WriteString(conn, block)
+			}
+			endless.cut <- err != nil
+			return
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return endless
+}
+
+const (
+	endlessStatus  = "HTTP/1.1 200 OK\r\n"
+	endlessChunked = endlessStatus + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+func lost(result Result) bool {
+	_, ok := result.(Lost)
+	return ok
+}
+
+// TestEndlessResponse guards against a response without end that is read until the
+// deadline, sent again, taken for "not run", or that keeps its connection: the client
+// may open only one, and the next call needs it.
+func TestEndlessResponse(t *testing.T) {
+	cases := []struct {
+		name, head, unit string
+		check            func(Result) bool
+	}{
+		{"header line", endlessStatus + "X: ", "x", lost},
+		{"header lines", endlessStatus, "X: y\r\n", lost},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", lost},
+		{"bytes without a line", "", "x", lost},
+		{"blank lines", "", "\r\n", lost},
+		{"null bytes", "", "\x00", lost},
+		{"body over its limit", endlessStatus + "Content-Length: 1000000000000\r\n\r\n", "x", badResponse(CauseTooLarge)},
+		{"chunks", endlessChunked, "1\r\nx\r\n", badResponse(CauseTooLarge)},
+		{"until the connection closes", endlessStatus + "\r\n", "x", badResponse(CauseUnframed)},
+		{"chunk size", endlessChunked, "0", badResponse(CauseTruncated)},
+		{"chunk extension", endlessChunked + "1;", "x", badResponse(CauseTruncated)},
+		{"trailer line", endlessChunked + "0\r\nX: ", "x", badResponse(CauseTruncated)},
+		{"trailer lines", endlessChunked + "0\r\n", "X: y\r\n", badResponse(CauseTruncated)},
+		{"refusal", "HTTP/1.1 503 Busy\r\nRequest-Outcome: notRun\r\n\r\n", "x", notRun(CauseShed)},
+		{"refusal in chunks", "HTTP/1.1 503 Busy\r\nRequest-Outcome: notRun\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", notRun(CauseShed)},
+	}
+	for _, testcase := range cases {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(testcase.name+" "+method, func(t *testing.T) {
+				is := is.New(t)
+				endless := startEndless(t, testcase.head, testcase.unit, wholeResponse, false)
+				client := NewClient(1, nil)
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+				defer cancel()
+				call := Call{Address: endless.address, Method: method, Target: "/", MaxAnswerSize: smallBody}
+				is.True(testcase.check(client.Send(ctx, call)))
+				is.True(<-endless.cut)
+				is.Equal(endless.requests.Load(), int64(1)) // not repeated
+				response, ok := client.Send(ctx, call).(Response)
+				is.True(ok)
+				is.Equal(string(response.Answer.Body), "whole")
+			})
+		}
+	}
+}
+
+// TestUnfinishedResponse guards against a response that still comes in when its call
+// ends, and is taken for a complete one or for "not run".
+func TestUnfinishedResponse(t *testing.T) {
+	cases := []struct{ name, head string }{
+		{"head", endlessStatus + "X: "},
+		{"length", endlessStatus + "Content-Length: 100\r\n\r\n"},
+		{"chunk", endlessChunked + "64\r\n"},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := startEndless(t, testcase.head, "x", wholeResponse, true)
+			client := NewClient(1, nil)
+			defer client.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				<-endless.begun
+				cancel()
+			}()
+			call := Call{Address: endless.address, Method: http.MethodPost, Target: "/", MaxAnswerSize: smallBody}
+			_, ok := client.Send(ctx, call).(TimedOut)
+			is.True(ok)
+			is.True(<-endless.cut)
+		})
+	}
+}
+
+// TestEndlessGrantResponse guards against a response to a grant, by which upstreams are
+// checked, that has no end, and against accepting the part of it that was read.
+func TestEndlessGrantResponse(t *testing.T) {
+	cases := []struct{ name, head, unit string }{
+		{"header line", endlessStatus + "X: ", "x"},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"bytes without a line", "", "x"},
+		{"body of spaces", endlessStatus + "\r\n{\"stamp\":7}", " "},
+		{"body", endlessStatus + "\r\n{\"stamp\":7,\"incarnation\":\"", "x"},
+		{"chunks", endlessChunked, "1\r\n \r\n"},
+		{"failure", "HTTP/1.1 500 Failed\r\n\r\n", "x"},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			endless := startEndless(t, testcase.head, testcase.unit, wholeAck, false)
+			client := NewClient(1, nil)
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+			defer cancel()
+			_, err := client.Grant(ctx, endless.address, Grant{})
+			is.True(err != nil)
+			is.True(<-endless.cut)
+			ack, err := client.Grant(ctx, endless.address, Grant{})
+			is.NoErr(err)
+			is.Equal(ack.Stamp, int64(7))
+		})
+	}
+}
