Bound what errors of upstr quote of a response

What callers saw: a refusal whose detail holds the bytes that the upstream sent instead of a response, up to 64 KiB of them, escaped.

Cause: errors of net/http quote the line that they could not parse, and status lines were quoted whole; shard hands the error's text on as the detail of a refusal.

Evidence: TestErrorIsBounded, 48 KiB of garbage in four places of a response, to a call and to a grant.

Change: quoted text is cut at 256 bytes. Shorter errors are passed on as they are.

--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -22,6 +22,8 @@
 	idleTimeout            = 30 * time.Second
 	maxGrantResponseBytes  = 64 << 10
 	maxResponseHeaderBytes = 64 << 10
+	// maxErrorBytes bounds what an error quotes of a response.
+	maxErrorBytes = 256
 	// lowerIdempotencyKey is deliberately not in canonical form: net/http retries
 	// requests that have the canonical field on another connection by itself.
 	lowerIdempotencyKey = "idempotency-key"
@@ -164,10 +166,26 @@
 	case ctx.Err() != nil:
 		return TimedOut{Err: Error.New("wait for answer: %w", ctx.Err())}
 	default:
-		return Lost{Err: Error.New("connection ended: %w", err)}
+		return Lost{Err: Error.New("connection ended: %w", shortenError(err))}
 	}
 }
 
+// shortenError bounds the text of an error, which may quote all that an upstream sent.
+func shortenError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return Error.New("%s", shorten(text))
+}
+
+func shorten(text string) string {
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+}
+
 func readResponse(ctx context.Context, response *http.Response, limit int) Result {
 	if refused, ok := parseRefusal(response); ok {
 		return refused
@@ -197,7 +215,7 @@
 	if outcome != OutcomeNotRun && outcome != OutcomeFenced {
 		return NotRun{}, false
 	}
-	refused := NotRun{Cause: CauseShed, Err: Error.New("the upstream answered %s", response.Status)}
+	refused := NotRun{Cause: CauseShed, Err: Error.New("the upstream answered %s", shorten(response.Status))}
 	if outcome == OutcomeFenced {
 		refused.Cause = CauseFenced
 	}
@@ -279,7 +297,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.grants.RoundTrip(request)
 	if err != nil {
-		return GrantAck{}, Error.New("send grant: %w", err)
+		return GrantAck{}, Error.New("send grant: %w", shortenError(err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxGrantResponseBytes+1))
@@ -290,7 +308,7 @@
 		return GrantAck{}, Error.New("the grant response exceeds %d bytes", maxGrantResponseBytes)
 	}
 	if response.StatusCode != http.StatusOK {
-		return GrantAck{}, Error.New("unexpected response to grant: %s", response.Status)
+		return GrantAck{}, Error.New("unexpected response to grant: %s", shorten(response.Status))
 	}
 	var ack GrantAck
 	if err := json.Unmarshal(body, &ack); err != nil {
--- a/internal/dispatch/upstr/endless_test.go
+++ b/internal/dispatch/upstr/endless_test.go
@@ -197,3 +197,32 @@
 		})
 	}
 }
+
+// TestErrorIsBounded guards against an error, which callers get as the detail of a
+// refusal, that holds all that an upstream sent instead of a response.
+func TestErrorIsBounded(t *testing.T) {
+	garbage := strings.Repeat("\x00", 48<<10)
+	for _, raw := range []string{
+		garbage + "\r\n",
+		endlessStatus + garbage + "\r\n\r\n",
+		endlessStatus + "Content-Length: " + strings.Repeat("x", 48<<10) + "\r\n\r\n",
+		"HTTP/1.1 503 " + strings.Repeat("x", 48<<10) + "\r\nRequest-Outcome: notRun\r\nContent-Length: 0\r\n\r\n",
+	} {
+		is := is.New(t)
+		address, _ := startScriptedServer(t, raw)
+		client := NewClient(1, nil)
+		var text string
+		switch result := client.Send(t.Context(), Call{Address: address, Method: http.MethodPost, Target: "/"}).(type) {
+		case Lost:
+			text = result.Err.Error()
+		case NotRun:
+			text = result.Err.Error()
+		}
+		is.True(text != "")
+		is.True(len(text) <= 400)
+		_, err := client.Grant(t.Context(), address, Grant{})
+		is.True(err != nil)
+		is.True(len(err.Error()) <= 400)
+		client.Close()
+	}
+}
