Never give the bytes after one response to the next call

What callers saw: the response to somebody else's request, as a complete answer. An upstream that sends a second response after the first one is enough, while other calls wait for the connection. The users' path (pool) is not affected: it looks into buffer and socket before each use.

Cause: net/http's transport gives a connection to a waiting call before its read loop looks whether more bytes came than the response had. If the call gets there first, the bytes are its response. Responses of this protocol carry no ID.

Evidence: TestBytesAfterResponse, 8 callers over 2 connections to an upstream that sends "other" after each response.

Ruled out: DisableKeepAlives (a connection for each request); reading through pool (it matches responses by an ID and has no limit on connections).

Change: each call waits, once it is given a connection, until net/http has started the next read on it, which it only does with an empty buffer, or has closed it. From then until the first write, bytes that come in are an error, and the write looks into the socket. This holds for new connections too (TestBytesBeforeRequest, new with the code it tests) and for grants. A call whose connection is closed goes over a new one only where nothing was written, as before (TestNeverSentTwice).

What remains: bytes that arrive while the request is being written can't be told from an early response. The cost, a peek at the socket for each request, was not measured.

--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -51,7 +50,7 @@
 			if err != nil {
 				return nil, Error.New("dial: %w", err)
 			}
-			return &guardedConn{Conn: conn, allowed: allowed}, nil
+			return newGuardedConn(conn, allowed), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -67,25 +66,6 @@
 	client.grants.CloseIdleConnections()
 }
 
-// errWriteNotAllowed is returned by writes that are not allowed.
-var errWriteNotAllowed = Error.New("the lease ended before the write")
-
-// guardedConn is a connection that rejects writes while they are not allowed. This
-// way nothing is sent if the process pauses between the lease check and the write.
-type guardedConn struct {
-	net.Conn
-
-	allowed func() bool
-}
-
-// Write writes the data, or fails with errWriteNotAllowed.
-func (guardedconn *guardedConn) Write(data []byte) (int, error) {
-	if guardedconn.allowed != nil && !guardedconn.allowed() {
-		return 0, errWriteNotAllowed
-	}
-	return guardedconn.Conn.Write(data) //nolint:wrapcheck // net/http expects unwrapped connection errors
-}
-
 // singleUseBody is a request body that net/http cannot rewind, so that it never
 // retries a request by itself.
 type singleUseBody struct{ reader io.Reader }
@@ -144,8 +124,7 @@
 // certain: either there was no connection, or the upstream said so.
 func (client *Client) Send(ctx context.Context, call Call) Result {
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	request, err := newRequest(traceConnections(ctx, func() { connected = true }), call)
 	if err != nil {
 		return NotRun{Cause: CauseUnreachable, Err: err}
 	}
@@ -290,7 +269,7 @@
 		return GrantAck{}, Error.New("encode grant: %w", err)
 	}
 	url := "http://" + address.String() + GrantPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(traceConnections(ctx, nil), http.MethodPost, url, bytes.NewReader(data))
 	if err != nil {
 		return GrantAck{}, Error.New("build grant: %w", err)
 	}
--- a/internal/dispatch/upstr/endless_test.go
+++ b/internal/dispatch/upstr/endless_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -226,3 +227,61 @@
 		client.Close()
 	}
 }
+
+// TestBytesAfterResponse guards against handing the bytes that follow one response to
+// the next call: net/http gives a connection to a waiting call before it looks for
+// bytes that no call asked for.
+func TestBytesAfterResponse(t *testing.T) {
+	const callers, calls = 8, 1000
+	const other = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+	cases := []struct{ name, response, body string }{
+		{"after a body", wholeResponse, "whole"},
+		{"after an empty body", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			address, _ := startScriptedServer(t, testcase.response+other, testcase.response+other, testcase.response+other)
+			client := NewClient(2, nil)
+			defer client.Close()
+			var wrong, right atomic.Int64
+			var tasks sync.WaitGroup
+			for range callers {
+				tasks.Go(func() {
+					for range calls {
+						call := Call{Address: address, Method: http.MethodPost, Target: "/", MaxAnswerSize: smallBody}
+						response, ok := client.Send(t.Context(), call).(Response)
+						switch {
+						case ok && string(response.Answer.Body) != testcase.body:
+							wrong.Add(1)
+						case ok:
+							right.Add(1)
+						}
+					}
+				})
+			}
+			tasks.Wait()
+			is := is.New(t)
+			is.Equal(wrong.Load(), int64(0))
+			is.True(right.Load() > 0)
+			t.Logf("%d of %d calls got their response", right.Load(), callers*calls)
+		})
+	}
+}
+
+// TestBytesBeforeRequest guards against taking bytes that an upstream sends on a new
+// connection, before any request, for the response to the first.
+func TestBytesBeforeRequest(t *testing.T) {
+	is := is.New(t)
+	upstream, client := net.Pipe()
+	defer upstream.Close()
+	connection := newGuardedConn(client, nil)
+	read := make(chan error, 1)
+	go func() {
+		_, err := connection.Read(make([]byte, 100))
+		read <- err
+	}()
+	connection.awaitReader(t.Context())
+	_, err := io.WriteString(upstream, wholeResponse)
+	is.NoErr(err)
+	is.Equal(<-read, errUnexpectedBytes)
+}
--- /dev/null
+++ b/internal/dispatch/upstr/guard.go
@@ -0,0 +1,144 @@
+package upstr
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+)
+
+var (
+	// errWriteNotAllowed is returned by writes that are not allowed.
+	errWriteNotAllowed = Error.New("the lease ended before the write")
+	// errUnexpectedBytes is returned if bytes come in, or the connection ends, before
+	// the request was written.
+	errUnexpectedBytes = Error.New("the upstream sent bytes without a request")
+)
+
+// guardedConn is a connection that rejects writes while they are not allowed. This
+// way nothing is sent if the process pauses between the lease check and the write.
+//
+// It also rejects bytes that come in after one response and before the next request.
+// net/http looks for them, but a request that waits for the connection may be given it
+// before that, and would take them for its response.
+type guardedConn struct {
+	net.Conn
+
+	allowed func() bool
+
+	mutex sync.Mutex
+	// changed is signalled when reading or closed is set.
+	changed *sync.Cond
+	// reading is set while a Read runs. On an idle connection, net/http starts one only
+	// if it has no unread bytes, and closes the connection otherwise.
+	reading bool
+	closed  bool
+	// requested is set once the current request is being written.
+	requested bool
+}
+
+func newGuardedConn(conn net.Conn, allowed func() bool) *guardedConn {
+	guardedconn := &guardedConn{Conn: conn, allowed: allowed}
+	guardedconn.changed = sync.NewCond(&guardedconn.mutex)
+	return guardedconn
+}
+
+// traceConnections returns a context in which each request waits until its connection
+// is known to hold no unread bytes. The function gotConn, if set, is called before.
+func traceConnections(ctx context.Context, gotConn func()) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if gotConn != nil {
+			gotConn()
+		}
+		if guardedconn, ok := info.Conn.(*guardedConn); ok {
+			guardedconn.awaitReader(ctx)
+		}
+	}})
+}
+
+// awaitReader waits until net/http has read all bytes that it has of the connection,
+// or has closed it. Bytes that come in from then on are rejected until a write.
+func (guardedconn *guardedConn) awaitReader(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		guardedconn.mutex.Lock()
+		defer guardedconn.mutex.Unlock()
+		guardedconn.changed.Broadcast()
+	})
+	defer stop()
+	guardedconn.mutex.Lock()
+	defer guardedconn.mutex.Unlock()
+	for !guardedconn.reading && !guardedconn.closed && ctx.Err() == nil {
+		guardedconn.changed.Wait()
+	}
+	guardedconn.requested = false
+}
+
+// Read reads data, or fails with errUnexpectedBytes.
+func (guardedconn *guardedConn) Read(data []byte) (int, error) {
+	guardedconn.mutex.Lock()
+	guardedconn.reading = true
+	guardedconn.changed.Broadcast()
+	guardedconn.mutex.Unlock()
+	count, err := guardedconn.Conn.Read(data)
+	guardedconn.mutex.Lock()
+	defer guardedconn.mutex.Unlock()
+	guardedconn.reading = false
+	if count > 0 && !guardedconn.requested {
+		return 0, errUnexpectedBytes
+	}
+	return count, err //nolint:wrapcheck // net/http expects unwrapped connection errors
+}
+
+// Write writes the data, or fails with errWriteNotAllowed or errUnexpectedBytes.
+func (guardedconn *guardedConn) Write(data []byte) (int, error) {
+	if guardedconn.allowed != nil && !guardedconn.allowed() {
+		return 0, errWriteNotAllowed
+	}
+	if !guardedconn.beginRequest() {
+		return 0, errUnexpectedBytes
+	}
+	return guardedconn.Conn.Write(data) //nolint:wrapcheck // net/http expects unwrapped connection errors
+}
+
+// Close closes the connection.
+func (guardedconn *guardedConn) Close() error {
+	guardedconn.mutex.Lock()
+	guardedconn.closed = true
+	guardedconn.changed.Broadcast()
+	guardedconn.mutex.Unlock()
+	return guardedconn.Conn.Close() //nolint:wrapcheck // net/http expects unwrapped connection errors
+}
+
+// beginRequest reports whether a request may be written: the one that has begun, or a
+// new one if no byte has come in.
+func (guardedconn *guardedConn) beginRequest() bool {
+	guardedconn.mutex.Lock()
+	defer guardedconn.mutex.Unlock()
+	if !guardedconn.requested && holdsBytes(guardedconn.Conn) {
+		return false
+	}
+	guardedconn.requested = true
+	return true
+}
+
+// holdsBytes reports whether a socket holds unread bytes or has ended. It peeks without
+// blocking and without waiting for a concurrent read.
+func holdsBytes(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	holds := false
+	err = rawConn.Control(func(descriptor uintptr) {
+		var buffer [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		holds = err == nil || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err == nil && holds
+}
