Reject a switch of protocols that nobody asked for

What callers saw: status 101 as the answer to a plain request; from upstr also with the bytes that followed it, up to the connection's end, as a body that looks complete.

Cause: 101 was taken for a final response in both clients, though neither forwards Upgrade.

Evidence: "switching protocols" in pool's TestSend and two cases in upstr's TestResults; all three were answers before.

Change: pool treats it as malformed ("garbled", may have run), upstr as a response without an end ("unframed", ran).

--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -452,7 +452,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		reusable := !received.Close && received.StatusCode != http.StatusSwitchingProtocols
+		reusable := !received.Close
 		if pool.Matches(request, received.Header) {
 			body, err := conn.readBody(pool, received)
 			if err != nil {
@@ -482,7 +482,10 @@
 		case err != nil:
 			return nil, Error.New("read response: %w", err)
 		}
-		if received.StatusCode >= http.StatusOK || received.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case received.StatusCode == http.StatusSwitchingProtocols:
+			return nil, Error.New("the upstream switched protocols without being asked to")
+		case received.StatusCode >= http.StatusOK:
 			return received, nil
 		}
 	}
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -128,6 +128,7 @@
 		{"reset before the response", script{responses: []string{""}, reset: true}, "", FailureLost},
 		{"closed before the response", script{responses: []string{""}}, "", FailureLost},
 		{"no response", script{responses: []string{""}, silent: true}, "", FailureTimeout},
+		{"switching protocols", script{responses: []string{"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nId: 1\r\n\r\nbytes"}, silent: true}, "", FailureGarbled},
 		{"malformed response", script{responses: []string{"garbage\r\n\r\n"}, silent: true}, "", FailureGarbled},
 	}
 	for _, testcase := range cases {
--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -171,7 +171,7 @@
 	}
 	framed := response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked") ||
 		response.Request.Method == http.MethodHead
-	if !framed {
+	if !framed || response.StatusCode == http.StatusSwitchingProtocols {
 		return BadResponse{Cause: CauseUnframed, Err: Error.New("the answer has neither length nor chunks")}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
--- a/internal/dispatch/upstr/upstr_test.go
+++ b/internal/dispatch/upstr/upstr_test.go
@@ -69,6 +69,8 @@
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut", badResponse(CauseTruncated)},
 		{"truncated chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", badResponse(CauseTruncated)},
 		{"no framing", "HTTP/1.0 200 OK\r\n\r\nperhaps cut", badResponse(CauseUnframed)},
+		{"switching protocols", "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nbytes", badResponse(CauseUnframed)},
+		{"switching protocols without a name", "HTTP/1.1 101 Switching\r\n\r\nbytes", badResponse(CauseUnframed)},
 		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), badResponse(CauseTooLarge)},
 		{"no response", "", func(result Result) bool { _, ok := result.(Lost); return ok }},
 		{"truncated header", "HTTP/1.1 200 OK\r\nContent-Le", func(result Result) bool { _, ok := result.(Lost); return ok }},
