Test an endless response to a request whose body is not read

TestEndlessResponseToUnreadBody and a wait for the bytes in TestIdleConnections, whose arrival on loopback need not be immediate.

--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -320,6 +320,9 @@
 			if testcase.advanced == sweepInterval {
 				close(endless.begin)
 				<-endless.begun
+				for ctx.Err() == nil && pool.idle[endless.address()][0].state() != stateUnexpected {
+					runtime.Gosched() // the bytes are on their way
+				}
 			}
 			clock.Advance(testcase.advanced)
 			if testcase.advanced != sweepInterval {
@@ -397,3 +400,23 @@
 		})
 	}
 }
+
+// TestEndlessResponseToUnreadBody guards against a request that goes on after its time
+// is over because the upstream sends without end and reads nothing.
+func TestEndlessResponseToUnreadBody(t *testing.T) {
+	is := is.New(t)
+	endless := startEndless(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x", 3*maxResponseBytes)
+	ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
+	defer cancel()
+	go func() {
+		<-endless.requests // the upstream has read the head
+		cancel()
+	}()
+	request := newRequest("1")
+	request.Method, request.Body = http.MethodPost, make([]byte, maxResponseBytes)
+	_, failure := newPool().Send(ctx, endless.address(), request)
+	is.True(failure != nil)
+	is.Equal(failure.Failure, FailureTimeout)
+	is.True(failure.MayHaveRun())
+	is.True(<-endless.cut)
+}
