--- a/internal/dispatch/upstr/endless_test.go
+++ b/internal/dispatch/upstr/endless_test.go
@@ -285,3 +285,24 @@
 	is.NoErr(err)
 	is.Equal(<-read, errUnexpectedBytes)
 }
+
+// TestEndlessBytesOnIdleConnection guards against keeping a connection on which the
+// upstream goes on sending after a complete response.
+func TestEndlessBytesOnIdleConnection(t *testing.T) {
+	for _, unit := range []string{"x", "\r\n", wholeResponse} {
+		is := is.New(t)
+		endless := startEndless(t, wholeResponse, unit, wholeResponse, false)
+		client := NewClient(1, nil)
+		call := Call{Address: endless.address, Method: http.MethodPost, Target: "/", MaxAnswerSize: smallBody}
+		for number := range 2 {
+			response, ok := client.Send(t.Context(), call).(Response)
+			is.True(ok)
+			is.Equal(string(response.Answer.Body), "whole")
+			if number == 0 {
+				is.True(<-endless.cut)
+			}
+		}
+		is.Equal(endless.requests.Load(), int64(2)) // each sent once
+		client.Close()
+	}
+}
