--- a/internal/dispatch/upstr/guard.go
+++ b/internal/dispatch/upstr/guard.go
@@ -61,18 +61,21 @@
 // awaitReader waits until net/http has read all bytes that it has of the connection,
 // or has closed it. Bytes that come in from then on are rejected until a write.
 func (guardedconn *guardedConn) awaitReader(ctx context.Context) {
+	guardedconn.mutex.Lock()
+	defer guardedconn.mutex.Unlock()
+	guardedconn.requested = false
+	if guardedconn.reading || guardedconn.closed {
+		return
+	}
 	stop := context.AfterFunc(ctx, func() {
 		guardedconn.mutex.Lock()
 		defer guardedconn.mutex.Unlock()
 		guardedconn.changed.Broadcast()
 	})
 	defer stop()
-	guardedconn.mutex.Lock()
-	defer guardedconn.mutex.Unlock()
 	for !guardedconn.reading && !guardedconn.closed && ctx.Err() == nil {
 		guardedconn.changed.Wait()
 	}
-	guardedconn.requested = false
 }
 
 // Read reads data, or fails with errUnexpectedBytes.
