--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -22,6 +21,8 @@
 	idleTimeout            = 30 * time.Second
 	maxGrantResponseBytes  = 64 << 10
 	maxResponseHeaderBytes = 64 << 10
+	// maxErrorBytes bounds what an error quotes of a response.
+	maxErrorBytes = 256
 	// lowerIdempotencyKey is deliberately not in canonical form: net/http retries
 	// requests that have the canonical field on another connection by itself.
 	lowerIdempotencyKey = "idempotency-key"
@@ -49,7 +50,7 @@
 			if err != nil {
 				return nil, Error.New("dial: %w", err)
 			}
-			return &guardedConn{Conn: conn, allowed: allowed}, nil
+			return newGuardedConn(conn, allowed), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -65,25 +66,6 @@
 	client.grants.CloseIdleConnections()
 }
 
-// errWriteNotAllowed is returned by writes that are not allowed.
-var errWriteNotAllowed = Error.New("the lease ended before the write")
-
-// guardedConn is a connection that rejects writes while they are not allowed. This
-// way nothing is sent if the process pauses between the lease check and the write.
-type guardedConn struct {
-	net.Conn
-
-	allowed func() bool
-}
-
-// Write writes the data, or fails with errWriteNotAllowed.
-func (guardedconn *guardedConn) Write(data []byte) (int, error) {
-	if guardedconn.allowed != nil && !guardedconn.allowed() {
-		return 0, errWriteNotAllowed
-	}
-	return guardedconn.Conn.Write(data) //nolint:wrapcheck // net/http expects unwrapped connection errors
-}
-
 // singleUseBody is a request body that net/http cannot rewind, so that it never
 // retries a request by itself.
 type singleUseBody struct{ reader io.Reader }
@@ -142,8 +124,7 @@
 // certain: either there was no connection, or the upstream said so.
 func (client *Client) Send(ctx context.Context, call Call) Result {
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	request, err := newRequest(traceConnections(ctx, func() { connected = true }), call)
 	if err != nil {
 		return NotRun{Cause: CauseUnreachable, Err: err}
 	}
@@ -164,8 +145,24 @@
 	case ctx.Err() != nil:
 		return TimedOut{Err: Error.New("wait for answer: %w", ctx.Err())}
 	default:
-		return Lost{Err: Error.New("connection ended: %w", err)}
+		return Lost{Err: Error.New("connection ended: %w", shortenError(err))}
+	}
+}
+
+// shortenError bounds the text of an error, which may quote all that an upstream sent.
+func shortenError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return Error.New("%s", shorten(text))
+}
+
+func shorten(text string) string {
+	if len(text) <= maxErrorBytes {
+		return text
 	}
+	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
 }
 
 func readResponse(ctx context.Context, response *http.Response, limit int) Result {
@@ -174,7 +171,7 @@
 	}
 	framed := response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked") ||
 		response.Request.Method == http.MethodHead
-	if !framed {
+	if !framed || response.StatusCode == http.StatusSwitchingProtocols {
 		return BadResponse{Cause: CauseUnframed, Err: Error.New("the answer has neither length nor chunks")}
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
@@ -197,7 +194,7 @@
 	if outcome != OutcomeNotRun && outcome != OutcomeFenced {
 		return NotRun{}, false
 	}
-	refused := NotRun{Cause: CauseShed, Err: Error.New("the upstream answered %s", response.Status)}
+	refused := NotRun{Cause: CauseShed, Err: Error.New("the upstream answered %s", shorten(response.Status))}
 	if outcome == OutcomeFenced {
 		refused.Cause = CauseFenced
 	}
@@ -272,22 +269,25 @@
 		return GrantAck{}, Error.New("encode grant: %w", err)
 	}
 	url := "http://" + address.String() + GrantPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(traceConnections(ctx, nil), http.MethodPost, url, bytes.NewReader(data))
 	if err != nil {
 		return GrantAck{}, Error.New("build grant: %w", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.grants.RoundTrip(request)
 	if err != nil {
-		return GrantAck{}, Error.New("send grant: %w", err)
+		return GrantAck{}, Error.New("send grant: %w", shortenError(err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxGrantResponseBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxGrantResponseBytes+1))
+	switch {
+	case err != nil:
 		return GrantAck{}, Error.New("read grant response: %w", err)
+	case len(body) > maxGrantResponseBytes:
+		return GrantAck{}, Error.New("the grant response exceeds %d bytes", maxGrantResponseBytes)
 	}
 	if response.StatusCode != http.StatusOK {
-		return GrantAck{}, Error.New("unexpected response to grant: %s", response.Status)
+		return GrantAck{}, Error.New("unexpected response to grant: %s", shorten(response.Status))
 	}
 	var ack GrantAck
 	if err := json.Unmarshal(body, &ack); err != nil {
