Let heartbeats arrive twice in the random model, and replace restarted hosts

A host that answers a heartbeat with an error forwards it to the leader, so that one heartbeat can be processed twice, also at the same time; the random model did not play that. And operations of a control host that had restarted could find that they led again, beside those of the new process, which no real process can.

--- a/internal/control/steer/random_test.go
+++ b/internal/control/steer/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -52,15 +53,15 @@
 		chaos.later(0, 400*time.Millisecond, chaos.electAny)
 	}},
 	{"interim leader", rarely, func(chaos *chaos, _ *upstream) {
-		former := chaos.group.leader
-		if former == nil {
+		former := slices.Index(chaos.group.members, chaos.group.leader)
+		if former < 0 {
 			return
 		}
 		chaos.depose()
 		chaos.group.elect(chaos.group.members[chaos.number(len(chaos.group.members))], chaos.oneIn(2))
 		chaos.later(0, 2*time.Second, func() {
 			chaos.depose()
-			chaos.group.elect(former, chaos.oneIn(2))
+			chaos.group.elect(chaos.group.members[former], chaos.oneIn(2))
 		})
 	}},
 	{"lapse of the lease", sometimes, func(chaos *chaos, _ *upstream) {
@@ -69,13 +70,12 @@
 		chaos.later(0, 300*time.Millisecond, func() { chaos.group.lapsed = chaos.group.lapsed && chaos.group.term != term })
 	}},
 	{"restart of a control host", rarely, func(chaos *chaos, _ *upstream) {
-		member := chaos.group.members[chaos.number(len(chaos.group.members))]
-		if member == chaos.group.leader {
+		number := chaos.number(len(chaos.group.members))
+		if chaos.group.members[number] == chaos.group.leader {
 			chaos.depose()
 			chaos.later(0, 300*time.Millisecond, chaos.electAny)
 		}
-		chaos.restartMember(member)
-		member.tick = nil
+		chaos.group.members[number] = chaos.newMember()
 	}},
 	{"unknown outcomes", sometimes, func(chaos *chaos, _ *upstream) { chaos.group.unknown = 1 + chaos.number(3) }},
 	{"evacuation", often, func(chaos *chaos, upstream *upstream) {
@@ -208,6 +208,8 @@
 	case 3:
 		call.deliverAt = chaos.after(0, 1100*time.Millisecond)
 	case 4:
+		call.repeated = true
+	case 5:
 		call.target = chaos.group.members[chaos.number(len(chaos.group.members))]
 	}
 }
--- a/internal/control/steer/simulation_test.go
+++ b/internal/control/steer/simulation_test.go
@@ -298,6 +298,8 @@
 	sentAt    time.Time
 	deliverAt time.Time
 	lost      bool
+	// repeated is set if the heartbeat arrives twice. The second answer counts.
+	repeated bool
 	// target handles the heartbeat. Without one, the leader does.
 	target      *member
 	operation   *operation
@@ -387,8 +389,7 @@
 	service := items.Item{Kind: items.KindService, Name: jobs, Version: 1, Service: &items.Service{Keyed: true}}
 	simulation.group.catalog, _ = simulation.group.catalog.Apply(1, state.PutItems{Items: []items.Item{service}})
 	for range members {
-		simulation.group.members = append(simulation.group.members, &member{group: simulation.group, scheduler: simulation.scheduler, catalog: simulation.group.catalog})
-		simulation.restartMember(simulation.group.members[len(simulation.group.members)-1])
+		simulation.group.members = append(simulation.group.members, simulation.newMember())
 	}
 	simulation.group.leader = simulation.group.members[0]
 	for range upstreams {
@@ -406,10 +407,13 @@
 	simulation.releaseDelay = func() time.Duration { return 0 }
 }
 
-// restartMember replaces a member's Coordinator by a new one.
-func (simulation *simulation) restartMember(member *member) {
+// newMember returns a member that knows what has been committed. Operations of a member
+// that it replaces never find that they lead.
+func (simulation *simulation) newMember() *member {
+	member := &member{group: simulation.group, scheduler: simulation.scheduler, catalog: simulation.group.catalog}
 	logger := &log.Logger{Handler: pausingHandler{simulation}, Level: log.DebugLevel}
 	member.coordinator = New(member, pausingClock{simulation.clock, simulation.scheduler}, logger)
+	return member
 }
 
 // addUpstream adds an upstream in a data centre of its own.
@@ -520,6 +524,9 @@
 		}
 		if !call.lost {
 			simulation.startHeartbeat(call)
+			if call.repeated {
+				simulation.startHeartbeat(call)
+			}
 		}
 		return true
 	})
@@ -534,14 +541,18 @@
 	if target == nil {
 		target = simulation.group.members[0]
 	}
-	call.operation = &operation{
+	operation := &operation{
 		name: "heartbeat of " + call.upstream.instance.ID, coordinator: target.coordinator,
 		startedAt: simulation.clock.Now(), timeout: callTimeout,
 	}
-	simulation.scheduler.start(call.operation, func() {
-		call.answer, call.err = call.operation.coordinator.HandleHeartbeat(context.Background(), call.heartbeat)
+	call.operation = operation
+	simulation.scheduler.start(operation, func() {
+		answer, err := operation.coordinator.HandleHeartbeat(context.Background(), call.heartbeat)
+		if call.operation == operation {
+			call.answer, call.err = answer, err
+		}
 	})
-	return call.operation
+	return operation
 }
 
 func (simulation *simulation) startTick(member *member) *operation {
