Aim the random model at overtaking heartbeats and interim leaders

Now an upstream may fall silent right after two heartbeats in a row, a leader may be replaced for a moment while a decision waits, a new leader gets the heartbeats that were on their way for long, and the catalog may be published some steps late.

--- a/internal/control/steer/random_test.go
+++ b/internal/control/steer/random_test.go
@@ -22,6 +22,8 @@
 	inject    func(chaos *chaos, upstream *upstream)
 }
 
+const interimLeader = "interim leader"
+
 var (
 	often     = []int{0, 100, 300}
 	sometimes = []int{0, 0, 0, 0, 100, 500}
@@ -52,18 +54,7 @@
 		chaos.depose()
 		chaos.later(0, 400*time.Millisecond, chaos.electAny)
 	}},
-	{"interim leader", rarely, func(chaos *chaos, _ *upstream) {
-		former := slices.Index(chaos.group.members, chaos.group.leader)
-		if former < 0 {
-			return
-		}
-		chaos.depose()
-		chaos.group.elect(chaos.group.members[chaos.number(len(chaos.group.members))], chaos.oneIn(2))
-		chaos.later(0, 2*time.Second, func() {
-			chaos.depose()
-			chaos.group.elect(chaos.group.members[former], chaos.oneIn(2))
-		})
-	}},
+	{interimLeader, rarely, func(chaos *chaos, _ *upstream) { chaos.interim(2 * time.Second) }},
 	{"lapse of the lease", sometimes, func(chaos *chaos, _ *upstream) {
 		term := chaos.group.term
 		chaos.group.lapsed = true
@@ -97,11 +88,15 @@
 	{"failed requests", sometimes, func(chaos *chaos, upstream *upstream) {
 		chaos.poll(PollArgs{Work: map[string]RequestStats{upstream.instance.ID: {Failed: 6}}})
 	}},
-	{"late heartbeat", sometimes, func(chaos *chaos, upstream *upstream) {
+	{"late heartbeat", often, func(chaos *chaos, upstream *upstream) {
 		if upstream.call != nil {
 			upstream.call.deliverAt = chaos.after(0, 5*time.Second)
 		}
 	}},
+	{"silence after a broken connection", often, func(chaos *chaos, upstream *upstream) {
+		upstream.call, upstream.nextCall = nil, chaos.clock.Now()
+		chaos.later(20*time.Millisecond, time.Second, func() { upstream.silentUntil = chaos.after(holdExpiry, holdExpiry+time.Second) })
+	}},
 	{"broken connection", sometimes, func(chaos *chaos, upstream *upstream) {
 		if upstream.call != nil {
 			upstream.call, upstream.nextCall = nil, chaos.clock.Now()
@@ -117,6 +112,8 @@
 	intervals []int
 	// due are actions for later times.
 	due []action
+	// interims is set if an interim leader may take over in the middle of a decision.
+	interims bool
 }
 
 type action struct {
@@ -144,8 +141,33 @@
 
 func (chaos *chaos) electAny() {
 	if chaos.group.leader == nil {
-		chaos.group.elect(chaos.group.members[chaos.number(len(chaos.group.members))], chaos.oneIn(2))
+		chaos.elect(chaos.number(len(chaos.group.members)))
+	}
+}
+
+// elect makes a member the leader, which is reached by heartbeats that were on their way
+// for long.
+func (chaos *chaos) elect(number int) {
+	chaos.group.elect(chaos.group.members[number], chaos.oneIn(2))
+	for _, call := range chaos.calls {
+		if !call.lost && chaos.oneIn(2) {
+			call.deliverAt = chaos.after(0, 200*time.Millisecond)
+		}
+	}
+}
+
+// interim lets any member lead in a term of its own until the present leader leads again.
+func (chaos *chaos) interim(most time.Duration) {
+	former := slices.Index(chaos.group.members, chaos.group.leader)
+	if former < 0 {
+		return
 	}
+	chaos.depose()
+	chaos.elect(chaos.number(len(chaos.group.members)))
+	chaos.later(0, most, func() {
+		chaos.depose()
+		chaos.elect(former)
+	})
 }
 
 // leave deregisters an upstream, which exits a little later and starts again.
@@ -239,7 +261,9 @@
 			chaos.group.publish()
 		}
 	}
-	chaos.group.publish()
+	if !chaos.group.delayed || chaos.oneIn(3) {
+		chaos.group.publish()
+	}
 }
 
 // continueAny continues one operation for some seams.
@@ -273,6 +297,9 @@
 // stir lets upstreams send heartbeats soon, also those that were cut off or silent until
 // their holds ended.
 func (chaos *chaos) stir(now time.Time) {
+	if chaos.interims && chaos.oneIn(3) {
+		chaos.interim(500 * time.Millisecond)
+	}
 	for _, upstream := range chaos.upstreams {
 		if chaos.oneIn(3) {
 			continue
@@ -338,7 +365,9 @@
 		}
 		chaos := &chaos{simulation: newSimulation(rapid.IntRange(1, 3).Draw(t, "members"), rapid.IntRange(2, 6).Draw(t, "upstreams")), random: rand.New(rand.NewPCG(seed, seed))}
 		for _, fault := range faults {
-			chaos.intervals = append(chaos.intervals, rapid.SampledFrom(fault.intervals).Draw(t, fault.name))
+			interval := rapid.SampledFrom(fault.intervals).Draw(t, fault.name)
+			chaos.intervals = append(chaos.intervals, interval)
+			chaos.interims = chaos.interims || fault.name == interimLeader && interval > 0
 		}
 		chaos.group.delayed = rapid.Bool().Draw(t, "catalog is published late")
 		for _, upstream := range chaos.upstreams {
