Remember a deregistration that comes before the first heartbeat

A deregistration of an upstream that has no record was acknowledged and had no effect. Upstreams that leave this way go on with heartbeats that say ready, and the first one that reached the leader registered it as a new one.

TestDeregistrationBeforeFirstHeartbeat, new, failed before.

Change: the leader keeps such a deregistration for its term and counts a process as draining if it was started before. The call names the ID only, so the start time is what tells a later process under the same ID apart.

After: the test passes. Left: a change of the leader between deregistration and heartbeat.

--- a/internal/control/steer/departure_test.go
+++ b/internal/control/steer/departure_test.go
@@ -48,3 +48,23 @@
 		})
 	}
 }
+
+// TestDeregistrationBeforeFirstHeartbeat guards against an upstream that is offered work
+// after its deregistration was acknowledged, since it had not been registered by then. A
+// later process under its ID is not affected.
+func TestDeregistrationBeforeFirstHeartbeat(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(2)
+	leaving := cluster.backends[0]
+	leaving.up = false
+	is.NoErr(cluster.coordinator.Deregister(context.Background(), leaving.instance.ID))
+	cluster.clock.Advance(time.Second)
+	cluster.sendHeartbeat(leaving, 0, false)
+	is.True(cluster.node.catalog.Instances[leaving.instance.ID].Draining)
+
+	cluster.clock.Advance(time.Second)
+	cluster.born = cluster.clock.Now().UnixMilli()
+	cluster.restart(leaving)
+	cluster.sendHeartbeat(leaving, 0, false)
+	is.True(!cluster.node.catalog.Instances[leaving.instance.ID].Draining)
+}
--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -196,11 +196,11 @@
 	if _, leads := coordinator.lead(ctx); !leads {
 		return ErrNotLeader
 	}
-	instance, known := coordinator.node.Catalog().Instances[id]
+	instance, known := coordinator.holds.depart(id)
 	if !known {
+		coordinator.log.WithField("upstream", id).Info(logPrefix + "upstream deregistered before its first heartbeat")
 		return nil
 	}
-	coordinator.holds.depart(instance.Owner())
 	if !instance.Draining {
 		instance.Draining = true
 		if _, err := coordinator.node.Propose(ctx, state.RegisterInstance{Instance: instance}); err != nil {
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -83,8 +83,10 @@
 	// later fence were assigned in this term.
 	termIndex uint64
 	upstreams map[spans.Owner]*upstreamState
-	// departed are the upstreams that have deregistered.
-	departed map[spans.Owner]bool
+	// departed are the upstreams that have deregistered, and departedIDs is when those
+	// did that were not registered then, by ID.
+	departed    map[spans.Owner]bool
+	departedIDs map[string]time.Time
 	// reservations holds the latest reservation of each service.
 	reservations map[string]*reservation
 	// movingSince is when each span was first seen to be moving.
@@ -101,6 +103,7 @@
 	holdtable.termIndex = holdtable.node.Catalog().Index
 	holdtable.upstreams = map[spans.Owner]*upstreamState{}
 	holdtable.departed = map[spans.Owner]bool{}
+	holdtable.departedIDs = map[string]time.Time{}
 	holdtable.reservations = map[string]*reservation{}
 	holdtable.movingSince = map[moveID]time.Time{}
 }
@@ -551,16 +554,25 @@
 	return now.Sub(lastHeartbeat)
 }
 
-// depart records that an upstream has deregistered.
-func (holdtable *holdTable) depart(owner spans.Owner) {
+// depart records that an upstream has deregistered, and returns it. A deregistration
+// names the ID only, so it is taken for that of the process that is registered. If there
+// is none, it counts for all processes that were started before it.
+func (holdtable *holdTable) depart(id string) (state.Instance, bool) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
-	holdtable.departed[owner] = true
+	instance, known := holdtable.node.Catalog().Instances[id]
+	if known {
+		holdtable.departed[instance.Owner()] = true
+	} else {
+		holdtable.departedIDs[id] = holdtable.clock.Now()
+	}
+	return instance, known
 }
 
 // hasDeparted reports whether an upstream has deregistered in this term.
 func (holdtable *holdTable) hasDeparted(owner spans.Owner) bool {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
-	return holdtable.departed[owner]
+	departedAt, unregistered := holdtable.departedIDs[owner.ID]
+	return holdtable.departed[owner] || unregistered && owner.Born <= departedAt.UnixMilli()
 }
