Leave keys granted that no change concerns

What callers saw: keys without a holder for a tenth of a second, and since for up to a heartbeat, whenever another part of their range was about to move.

While a change is reserved, an upstream was granted none of a span that the change touches, so it was told to release all of it. What stayed with it was granted again with its next heartbeat, since under a new fence, which takes a commit before.

Evidence: TestKeysOutsideChangeStayGranted, new, failed before: none of the 509 keys that stay with the upstream was granted while its other 32259 are reserved (0 != 509).

Change: an answer grants the parts of a span that are neither reserved nor released. A release counts for the keys that it names, also if these are a part of the moving span. Keys that their owner released and keeps are assigned to it anew by the same heartbeat, if no other change is under way.

After: the test passes, and the others of the package.

--- a/internal/control/steer/heartbeat_test.go
+++ b/internal/control/steer/heartbeat_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -66,3 +67,37 @@
 	simulation.scheduler.finish(tick)
 	is.Equal(len(draining.rows), 0)
 }
+
+// TestKeysOutsideChangeStayGranted guards against keys without a holder that no change
+// concerns: an upstream is told to release a whole span while a part of it is reserved.
+func TestKeysOutsideChangeStayGranted(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(1, 2)
+	upstream, leader := simulation.upstreams[0], simulation.group.leader
+	for upstream.call != nil || simulation.upstreams[1].call != nil {
+		simulation.step()
+	}
+	var busy []uint16
+	for key := range uint16(1000) {
+		busy = append(busy, key)
+	}
+	entry := state.Entry{Name: "entry"}
+	simulation.group.waiting = append(simulation.group.waiting, &logEntry{command: state.RegisterEntry{Entry: entry}})
+	simulation.group.commit()
+	args := PollArgs{Entry: entry, Keys: map[string][]uint16{jobs: busy}}
+	_, err := leader.coordinator.Poll(context.Background(), args)
+	is.NoErr(err)
+	simulation.advance(balanceInterval)
+	tick := simulation.startTick(leader)
+	simulation.scheduler.runUntil(tick, "before commit state.ChangeSpans")
+	is.True(!tick.ended) // it moves some of the busy keys
+	change := simulation.group.waiting[0].command.(state.ChangeSpans).Changes[0]
+	simulation.exchange(upstream)
+	held := 0
+	for _, row := range upstream.rows {
+		is.True(row.To < change.From || row.From > change.To)
+		held += int(row.To) - int(row.From) + 1
+	}
+	moved := int(change.To) - int(change.From) + 1
+	is.Equal(held, 32768-moved)
+}
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -59,13 +59,40 @@
 	return reservation != nil && catalog.Spans[reservation.command.Service].Version == reservation.command.Base
 }
 
-func (reservation *reservation) covers(span spans.Span) bool {
+// within returns the key ranges of the span that the change covers.
+func (reservation *reservation) within(span spans.Span) []keyRange {
+	var ranges []keyRange
 	for _, change := range reservation.command.Changes {
 		if change.From <= span.To && change.To >= span.From {
-			return true
+			ranges = append(ranges, keyRange{from: max(change.From, span.From), to: min(change.To, span.To)})
 		}
 	}
-	return false
+	return ranges
+}
+
+// keyRange is a range of keys, both ends included.
+type keyRange struct{ from, to uint16 }
+
+// without returns the parts of the range that none of the others covers.
+func (keyrange keyRange) without(others []keyRange) []keyRange {
+	rest := []keyRange{keyrange}
+	for _, other := range others {
+		var next []keyRange
+		for _, part := range rest {
+			if other.to < part.from || other.from > part.to {
+				next = append(next, part)
+				continue
+			}
+			if part.from < other.from {
+				next = append(next, keyRange{from: part.from, to: other.from - 1})
+			}
+			if part.to > other.to {
+				next = append(next, keyRange{from: other.to + 1, to: part.to})
+			}
+		}
+		rest = next
+	}
+	return rest
 }
 
 // holdTable knows which upstreams may hold keys in the leader's term. Granting
@@ -188,27 +215,20 @@
 	}
 	upstreamstate.released = slices.DeleteFunc(upstreamstate.released, func(ended endedHold) bool {
 		return slices.ContainsFunc(heartbeat.Holds, func(hold Hold) bool {
-			return hold.Fence == ended.fence && hold.From <= ended.To && hold.To >= ended.From
+			return hold.From <= ended.To && hold.To >= ended.From
 		})
 	})
 }
 
-// hasReleased reports whether the process has released keys of the span.
-func (upstreamstate *upstreamState) hasReleased(span spans.Span) bool {
-	return slices.ContainsFunc(upstreamstate.released, func(ended endedHold) bool {
-		return ended.fence == span.Fence && ended.From <= span.To && ended.To >= span.From
-	})
-}
-
-// releaseToken returns the handover token with which the process released the span, and
-// whether it has released all of it.
-func (upstreamstate *upstreamState) releaseToken(span spans.Span) (string, bool) {
+// releasedOf returns the releases of keys of the span, reduced to these keys.
+func (upstreamstate *upstreamState) releasedOf(span spans.Span) []Release {
+	var releases []Release
 	for _, ended := range upstreamstate.released {
-		if ended.fence == span.Fence && ended.From <= span.From && ended.To >= span.To {
-			return ended.Handover, true
+		if ended.fence == span.Fence && ended.From <= span.To && ended.To >= span.From {
+			releases = append(releases, Release{From: max(ended.From, span.From), To: min(ended.To, span.To), Handover: ended.Handover})
 		}
 	}
-	return "", false
+	return releases
 }
 
 // forget drops what is known of assignments that have ended.
@@ -235,6 +255,9 @@
 		return HeartbeatReply{}, grantDecision{}, errSuperseded
 	}
 	reserved, leaves := holdtable.reservations[service], canLeave(catalog, owner)
+	if !reserved.isOpen(catalog) {
+		reserved = nil
+	}
 	heartbeatreply := HeartbeatReply{Renewed: true, HoldTime: HoldTime}
 	decision := grantDecision{term: term, index: catalog.Index, decidedAt: holdtable.clock.Now(), received: received}
 	owned := catalog.Spans[service].OwnedBy(owner)
@@ -242,12 +265,10 @@
 		switch {
 		case span.Moving():
 			decision.moving = append(decision.moving, span)
-		case reserved.isOpen(catalog) && reserved.covers(span):
-			decision.reserved = append(decision.reserved, span)
-		case leaves || known.hasReleased(span):
+		case leaves:
 			decision.withheld = append(decision.withheld, span)
 		default:
-			decision.holds = append(decision.holds, Hold{From: span.From, To: span.To, Fence: span.Fence, Handover: span.Handover})
+			decision.addHolds(span, reserved, known.releasedOf(span))
 		}
 	}
 	known.forget(owned)
@@ -291,9 +312,9 @@
 	// when the holds of each owner expire.
 	expired    map[spans.Owner]bool
 	holdsUntil map[spans.Owner]time.Time
-	// released are the handover tokens, by first key, of spans that stay with an owner
-	// that has released them.
-	released map[uint16]string
+	// released are, by first key of the span, the releases of keys that stay with their
+	// owner.
+	released map[uint16][]Release
 	// untilNextHeartbeat is the time until each upstream's next heartbeat.
 	untilNextHeartbeat map[spans.Owner]time.Duration
 }
@@ -309,11 +330,13 @@
 	assessment := assessment{
 		catalog: holdtable.node.Catalog(), term: term, takenAt: holdtable.clock.Now(),
 		expired: map[spans.Owner]bool{}, holdsUntil: map[spans.Owner]time.Time{},
-		untilNextHeartbeat: map[spans.Owner]time.Duration{}, released: map[uint16]string{},
+		untilNextHeartbeat: map[spans.Owner]time.Duration{}, released: map[uint16][]Release{},
 	}
 	for _, span := range assessment.catalog.Spans[service].All() {
-		if known, ok := holdtable.upstreams[span.Owner]; ok && !span.Moving() && known.hasReleased(span) {
-			assessment.released[span.From], _ = known.releaseToken(span)
+		if known, ok := holdtable.upstreams[span.Owner]; ok && !span.Moving() {
+			if releases := known.releasedOf(span); len(releases) > 0 {
+				assessment.released[span.From] = releases
+			}
 		}
 		if _, done := assessment.expired[span.Owner]; done {
 			continue
@@ -377,8 +400,17 @@
 	return true
 }
 
-// reserveLeftOut reserves moving keys for their next owner that the upstream, as its
-// latest heartbeat shows, no longer holds.
+// letGo is a key range of a span that its owner no longer holds, as it released the
+// range or left it out of its heartbeats, and the upstream that is to hold it next.
+type letGo struct {
+	Release
+	span      spans.Span
+	successor spans.Owner
+	released  bool
+}
+
+// reserveLeftOut reserves keys that the upstream, as its latest heartbeat shows, no
+// longer holds: moving ones for their next owners, others for itself under a new fence.
 func (holdtable *holdTable) reserveLeftOut(term uint64, heartbeat Heartbeat) (*reservation, []letGo) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
@@ -388,21 +420,32 @@
 		return nil, nil
 	}
 	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
+	stays := catalog.Schedulable(catalog.Instances[owner.ID])
 	var gone []letGo
 	for _, span := range catalog.Spans[service].OwnedBy(owner) {
-		if !span.Moving() || overlaps(heartbeat.Holds, span) {
-			continue
-		}
-		handover, released := holdtable.countedRelease(known, span, now)
 		// Without a release, an answer in flight may still grant the keys.
-		waited := holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
-		if released || waited {
-			gone = append(gone, letGo{span: span, handover: handover, released: released})
+		waited := span.Moving() && !overlaps(heartbeat.Holds, span) &&
+			holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
+		switch {
+		case span.Moving() && holdtable.countsReleases(known, span, now) && len(known.releasedOf(span)) > 0:
+			gone = append(gone, letGoAll(span, known.releasedOf(span), span.Next)...)
+		case waited:
+			gone = append(gone, letGo{Release: Release{From: span.From, To: span.To}, span: span, successor: span.Next})
+		case !span.Moving() && stays:
+			gone = append(gone, letGoAll(span, known.releasedOf(span), owner)...)
 		}
 	}
 	return holdtable.reserveGone(catalog, service, gone, now)
 }
 
+func letGoAll(span spans.Span, releases []Release, successor spans.Owner) []letGo {
+	gone := make([]letGo, 0, len(releases))
+	for _, release := range releases {
+		gone = append(gone, letGo{Release: release, span: span, successor: successor, released: true})
+	}
+	return gone
+}
+
 // reserveReleased reserves all moving keys of a service that their owners have released
 // for their next owners. Releases are kept until then, as another change may be under way
 // when they arrive.
@@ -416,11 +459,8 @@
 	var gone []letGo
 	for _, span := range catalog.Spans[service].Spans {
 		known, ok := holdtable.upstreams[span.Owner]
-		if !ok || !span.Moving() {
-			continue
-		}
-		if handover, released := holdtable.countedRelease(known, span, now); released {
-			gone = append(gone, letGo{span: span, handover: handover, released: true})
+		if ok && span.Moving() && holdtable.countsReleases(known, span, now) {
+			gone = append(gone, letGoAll(span, known.releasedOf(span), span.Next)...)
 		}
 	}
 	return holdtable.reserveGone(catalog, service, gone, now)
@@ -429,30 +469,20 @@
 func (holdtable *holdTable) reserveGone(catalog *state.Catalog, service string, gone []letGo, now time.Time) (*reservation, []letGo) {
 	changes := make([]spans.Change, 0, len(gone))
 	for _, letgo := range gone {
-		span := letgo.span
 		changes = append(changes, spans.Change{
-			From: span.From, To: span.To, Owner: span.Next, Handover: letgo.handover,
-			Settle: holdtable.untilNextHeartbeat(span.Next, now) + settleMargin,
+			From: letgo.From, To: letgo.To, Owner: letgo.successor, Handover: letgo.Handover,
+			Settle: holdtable.untilNextHeartbeat(letgo.successor, now) + settleMargin,
 		})
 	}
 	return holdtable.reserve(catalog, service, changes), gone
 }
 
-// countedRelease returns the handover token with which the process has released the span.
-// A release may repeat that of an earlier assignment until it is acknowledged, so it
+// countsReleases reports whether the releases of the span are those of its present
+// assignment. A release may repeat that of an earlier one until it is acknowledged, so it
 // counts once the process has reported a hold that it learned of with this assignment or
 // later, or if it can't hold the span by a grant of an earlier leader.
-func (holdtable *holdTable) countedRelease(known *upstreamState, span spans.Span, now time.Time) (handover string, counted bool) {
-	handover, released := known.releaseToken(span)
-	return handover, released && (known.newestFence >= span.Fence || holdtable.grantedInTerm(span, now))
-}
-
-// letGo is a moving span that its owner no longer holds, as it released the span or
-// left it out of its heartbeats.
-type letGo struct {
-	span     spans.Span
-	handover string
-	released bool
+func (holdtable *holdTable) countsReleases(known *upstreamState, span spans.Span, now time.Time) bool {
+	return known.newestFence >= span.Fence || holdtable.grantedInTerm(span, now)
 }
 
 // grantedInTerm reports whether all grants of a span that can still be in force were
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -156,9 +156,8 @@
 	weights map[spans.Owner]float64
 	// untilNextHeartbeat is the time until each candidate's next heartbeat.
 	untilNextHeartbeat map[spans.Owner]time.Duration
-	// released are the handover tokens, by first key, of spans that are not moving and
-	// that their owner has released.
-	released map[uint16]string
+	// released are, by first key of the span, the releases of keys that are not moving.
+	released map[uint16][]Release
 }
 
 func (placement *placement) setLeaving(owner spans.Owner, leaving bool) {
@@ -263,9 +262,9 @@
 		case placement.leaving[span.Owner] && !span.Moving():
 			changes = append(changes, placement.distribute(span, false)...)
 		default:
-			if handover, released := placement.released[span.From]; released {
+			for _, release := range placement.released[span.From] {
 				changes = append(changes, spans.Change{
-					From: span.From, To: span.To, Owner: span.Owner, Handover: handover,
+					From: release.From, To: release.To, Owner: span.Owner, Handover: release.Handover,
 					Settle: placement.untilNextHeartbeat[span.Owner] + settleMargin,
 				})
 			}
--- a/internal/control/steer/trace.go
+++ b/internal/control/steer/trace.go
@@ -27,6 +27,27 @@
 	moving, reserved, withheld []spans.Span
 }
 
+// addHolds grants the parts of a span that are neither reserved nor released. The
+// reservation may be nil.
+func (grantdecision *grantDecision) addHolds(span spans.Span, reserved *reservation, releases []Release) {
+	var taken []keyRange
+	for _, release := range releases {
+		taken = append(taken, keyRange{from: release.From, to: release.To})
+	}
+	if len(taken) > 0 {
+		grantdecision.withheld = append(grantdecision.withheld, span)
+	}
+	if reserved != nil {
+		if covered := reserved.within(span); len(covered) > 0 {
+			grantdecision.reserved = append(grantdecision.reserved, span)
+			taken = append(taken, covered...)
+		}
+	}
+	for _, part := range (keyRange{from: span.From, to: span.To}).without(taken) {
+		grantdecision.holds = append(grantdecision.holds, Hold{From: part.from, To: part.to, Fence: span.Fence, Handover: span.Handover})
+	}
+}
+
 // logGrant logs the reply to a heartbeat if it grants other key ranges than the
 // upstream reported, or if the upstream released some.
 func (coordinator *Coordinator) logGrant(heartbeat Heartbeat, decision grantDecision) {
@@ -75,14 +96,13 @@
 		Info(logPrefix + message)
 }
 
-// logReleased logs the spans that their owners no longer hold, as they released them or
-// left them out of their heartbeats.
+// logReleased logs the key ranges that their owners no longer hold.
 func (coordinator *Coordinator) logReleased(service string, gone []letGo) {
 	for _, letgo := range gone {
 		span := letgo.span
-		coordinator.log.WithField("service", service).WithField("from", span.From).WithField("to", span.To).
+		coordinator.log.WithField("service", service).WithField("from", letgo.From).WithField("to", letgo.To).
 			WithField("owner", span.Owner.ID).WithField("born", span.Owner.Born).WithField("fence", span.Fence).
-			WithField("successor", span.Next.ID).WithField("released", letgo.released).
+			WithField("successor", letgo.successor.ID).WithField("released", letgo.released).
 			Info(logPrefix + "key range was let go")
 	}
 }
