Forget releases of keys that their owner has no more

A release stayed in memory as long as its owner had any key under the same fence, which in a long term adds up with each range that is moved away.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -106,8 +106,8 @@
 	return heartbeatreply, nil
 }
 
-// commitLeftOut assigns moving keys that the upstream no longer holds to their next
-// owners.
+// commitLeftOut assigns keys that the upstream no longer holds to their next owners, or
+// to it anew if they are not moving.
 func (coordinator *Coordinator) commitLeftOut(ctx context.Context, term uint64, heartbeat Heartbeat) {
 	reserved, gone := coordinator.holds.reserveLeftOut(term, heartbeat)
 	if reserved == nil {
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -231,13 +231,13 @@
 	return releases
 }
 
-// forget drops what is known of assignments that have ended.
+// forget drops the releases of keys that are not among the owned spans any more.
 func (upstreamstate *upstreamState) forget(owned []spans.Span) {
-	fences := map[uint64]bool{}
-	for _, span := range owned {
-		fences[span.Fence] = true
-	}
-	upstreamstate.released = slices.DeleteFunc(upstreamstate.released, func(ended endedHold) bool { return !fences[ended.fence] })
+	upstreamstate.released = slices.DeleteFunc(upstreamstate.released, func(ended endedHold) bool {
+		return !slices.ContainsFunc(owned, func(span spans.Span) bool {
+			return span.Fence == ended.fence && span.From <= ended.To && span.To >= ended.From
+		})
+	})
 }
 
 // grant decides which holds the upstream gets in the reply to its heartbeat, and
