Grant no keys again under a fence that their owner has lost

That a fence stands for one holding was true within a term only: an upstream releases a part of its span to one leader, which acknowledges that and loses the lead with the move; the next leader knows of no release and grants the part again under the same fence. A late copy of the release, in a heartbeat that reports the rest of the span, then counted at a third leader.

Evidence: TestLateReleaseOfKeysGrantedByNextLeader, by the reviewer, new, failed before: up-1 takes 509-32767/10, but up-0 holds 0-32767/4 for 3.472s.

Change: keys that a heartbeat leaves out although it reports a hold with their fence or a later one were lost or released, since answers grant all of them at once. They are not granted again under that fence, but assigned to their owner anew, in the same heartbeat if no other change is under way. Releases are clipped by what the heartbeat reports as held instead of dropped. An owner that can't leave gets its keys back also while it drains.

Ruled out: to do the same for an upstream that reports no holds at all. After an outage of all control hosts each of them would wait for a commit. Left for that reason: a heartbeat late by more than the time of a hold, across two changes of the leader.

After: the test passes.

--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -23,6 +23,10 @@
 	// released are the key ranges of its spans that the process has released. They are not
 	// granted to it again under the same fence, so that a fence stands for one holding.
 	released []endedHold
+	// missing are the key ranges of its spans that its latest heartbeat does not report
+	// although it reports a hold with the same fence or a later one. The process has lost
+	// or released them, so they are not granted again under the same fence either.
+	missing []endedHold
 	// interval is the time between two regular heartbeats.
 	interval time.Duration
 }
@@ -143,8 +147,8 @@
 }
 
 // isCurrent reports whether the heartbeat comes from the newest known process of
-// the upstream and at its address, and is later than all heartbeats recorded from
-// that process.
+// the upstream and at its address, and that no later one of that process has been
+// recorded.
 func (holdtable *holdTable) isCurrent(heartbeat Heartbeat) bool {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
@@ -199,12 +203,16 @@
 	return true, nil
 }
 
-// addReleases keeps what the heartbeat releases of the spans that the process owns.
-// What it reports as held it has been granted again since.
+// addReleases keeps what the heartbeat releases of the spans that the process owns, and
+// what is missing of them in its holds. What it reports as held it has been granted again.
 func (upstreamstate *upstreamState) addReleases(heartbeat Heartbeat, owned []spans.Span) {
+	var held []keyRange
+	newest := uint64(0)
 	for _, hold := range heartbeat.Holds {
-		upstreamstate.newestFence = max(upstreamstate.newestFence, hold.Fence)
+		held = append(held, keyRange{from: hold.From, to: hold.To})
+		newest = max(newest, hold.Fence)
 	}
+	upstreamstate.newestFence = max(upstreamstate.newestFence, newest)
 	for _, span := range owned {
 		for _, release := range heartbeat.Released {
 			ended := endedHold{Release: release, fence: span.Fence}
@@ -213,17 +221,46 @@
 			}
 		}
 	}
-	upstreamstate.released = slices.DeleteFunc(upstreamstate.released, func(ended endedHold) bool {
-		return slices.ContainsFunc(heartbeat.Holds, func(hold Hold) bool {
-			return hold.From <= ended.To && hold.To >= ended.From
-		})
-	})
+	upstreamstate.released = withoutRanges(upstreamstate.released, held)
+	upstreamstate.missing = nil
+	for _, span := range owned {
+		if newest >= span.Fence {
+			whole := endedHold{Release: Release{From: span.From, To: span.To}, fence: span.Fence}
+			upstreamstate.missing = append(upstreamstate.missing, withoutRanges([]endedHold{whole}, held)...)
+		}
+	}
+}
+
+// withoutRanges returns what remains of ended holds outside the ranges.
+func withoutRanges(ended []endedHold, ranges []keyRange) []endedHold {
+	var rest []endedHold
+	for _, hold := range ended {
+		for _, part := range (keyRange{from: hold.From, to: hold.To}).without(ranges) {
+			rest = append(rest, endedHold{Release: Release{From: part.from, To: part.to, Handover: hold.Handover}, fence: hold.fence})
+		}
+	}
+	return rest
 }
 
 // releasedOf returns the releases of keys of the span, reduced to these keys.
 func (upstreamstate *upstreamState) releasedOf(span spans.Span) []Release {
+	return within(upstreamstate.released, span)
+}
+
+// endedOf returns the key ranges of the span that the process has released or lost.
+func (upstreamstate *upstreamState) endedOf(span spans.Span) []Release {
+	releases := upstreamstate.releasedOf(span)
+	var covered []keyRange
+	for _, release := range releases {
+		covered = append(covered, keyRange{from: release.From, to: release.To})
+	}
+	return append(releases, within(withoutRanges(upstreamstate.missing, covered), span)...)
+}
+
+// within returns the ended holds of keys of the span, reduced to these keys.
+func within(holds []endedHold, span spans.Span) []Release {
 	var releases []Release
-	for _, ended := range upstreamstate.released {
+	for _, ended := range holds {
 		if ended.fence == span.Fence && ended.From <= span.To && ended.To >= span.From {
 			releases = append(releases, Release{From: max(ended.From, span.From), To: min(ended.To, span.To), Handover: ended.Handover})
 		}
@@ -268,11 +305,12 @@
 		case leaves:
 			decision.withheld = append(decision.withheld, span)
 		default:
-			decision.addHolds(span, reserved, known.releasedOf(span))
+			decision.addHolds(span, reserved, known.endedOf(span))
 		}
 	}
 	known.forget(owned)
-	if until := received.Add(holdExpiry); len(decision.holds) > 0 && until.After(known.holdsUntil) {
+	// Another attempt to deliver the heartbeat may have been received before this one.
+	if until := known.lastHeartbeat.Add(holdExpiry); len(decision.holds) > 0 && until.After(known.holdsUntil) {
 		known.holdsUntil = until
 	}
 	heartbeatreply.Holds, decision.holdsUntil = decision.holds, known.holdsUntil
@@ -312,8 +350,8 @@
 	// when the holds of each owner expire.
 	expired    map[spans.Owner]bool
 	holdsUntil map[spans.Owner]time.Time
-	// released are, by first key of the span, the releases of keys that stay with their
-	// owner.
+	// released are, by first key of the span, the keys that stay with their owner although
+	// it has released or lost them.
 	released map[uint16][]Release
 	// untilNextHeartbeat is the time until each upstream's next heartbeat.
 	untilNextHeartbeat map[spans.Owner]time.Duration
@@ -334,8 +372,8 @@
 	}
 	for _, span := range assessment.catalog.Spans[service].All() {
 		if known, ok := holdtable.upstreams[span.Owner]; ok && !span.Moving() {
-			if releases := known.releasedOf(span); len(releases) > 0 {
-				assessment.released[span.From] = releases
+			if ended := known.endedOf(span); len(ended) > 0 {
+				assessment.released[span.From] = ended
 			}
 		}
 		if _, done := assessment.expired[span.Owner]; done {
@@ -420,7 +458,7 @@
 		return nil, nil
 	}
 	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
-	stays := catalog.Schedulable(catalog.Instances[owner.ID])
+	stays := !canLeave(catalog, owner)
 	var gone []letGo
 	for _, span := range catalog.Spans[service].OwnedBy(owner) {
 		// Without a release, an answer in flight may still grant the keys.
@@ -432,7 +470,7 @@
 		case waited:
 			gone = append(gone, letGo{Release: Release{From: span.From, To: span.To}, span: span, successor: span.Next})
 		case !span.Moving() && stays:
-			gone = append(gone, letGoAll(span, known.releasedOf(span), owner)...)
+			gone = append(gone, letGoAll(span, known.endedOf(span), owner)...)
 		}
 	}
 	return holdtable.reserveGone(catalog, service, gone, now)
@@ -586,7 +624,8 @@
 
 // depart records that an upstream has deregistered, and returns it. A deregistration
 // names the ID only, so it is taken for that of the process that is registered. If there
-// is none, it counts for all processes that were started before it.
+// is none, it counts for those that were started before it by the upstream's clock, which
+// is compared with the leader's, and are heard within removeAfter.
 func (holdtable *holdTable) depart(id string) (state.Instance, bool) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
@@ -604,5 +643,9 @@
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
 	departedAt, unregistered := holdtable.departedIDs[owner.ID]
+	if unregistered && holdtable.clock.Now().Sub(departedAt) > removeAfter {
+		delete(holdtable.departedIDs, owner.ID)
+		unregistered = false
+	}
 	return holdtable.departed[owner] || unregistered && owner.Born <= departedAt.UnixMilli()
 }
--- /dev/null
+++ b/internal/control/steer/reassign_test.go
@@ -0,0 +1,62 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// pollBusyKeys reports requests for the first keys, so that balancing moves a part of the
+// span that holds them.
+func (simulation *simulation) pollBusyKeys() {
+	busy := make([]uint16, 1000)
+	for position := range busy {
+		busy[position] = uint16(position)
+	}
+	simulation.scheduler.finish(simulation.startPoll(PollArgs{Entry: state.Entry{Name: "entry"}, Keys: map[string][]uint16{jobs: busy}}))
+}
+
+// TestLateReleaseOfKeysGrantedByNextLeader guards against two holders of keys that an
+// upstream released to one leader, which acknowledged that and lost the lead, that the next
+// leader granted to it again under the same fence, and of which a third one receives an
+// earlier copy of the release, in a heartbeat that also reports other keys of that fence.
+func TestLateReleaseOfKeysGrantedByNextLeader(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(3, 2)
+	upstream, other := simulation.upstreams[0], simulation.upstreams[1]
+	for upstream.call != nil || other.call != nil {
+		simulation.step()
+	}
+	members := simulation.group.members
+	simulation.pollBusyKeys()
+	simulation.advance(balanceInterval)
+	tick := simulation.startTick(members[0])
+	simulation.scheduler.runUntil(tick, "before commit state.ChangeSpans")
+	is.True(!tick.ended)
+	simulation.exchange(upstream)
+	is.True(len(upstream.released) > 0) // the part that is to move
+	is.True(len(upstream.rows) > 0)     // the rest, under the same fence
+	// The connection breaks behind a heartbeat, and the next one is acknowledged.
+	late := simulation.send(upstream)
+	upstream.call = nil
+	simulation.advance(50 * time.Millisecond)
+	simulation.exchange(upstream)
+	is.Equal(len(upstream.released), 0)
+	// The move is lost with the lead, and the next leader grants the part again.
+	simulation.group.elect(members[1], false)
+	simulation.scheduler.finish(tick)
+	simulation.advance(500 * time.Millisecond)
+	simulation.exchange(upstream)
+	// A third leader moves all keys of the upstream, and the late heartbeat arrives.
+	simulation.group.elect(members[2], true)
+	simulation.setEvacuated(upstream, true)
+	simulation.tick()
+	late.target = members[2]
+	simulation.scheduler.finish(simulation.startHeartbeat(late))
+	simulation.tick()
+	simulation.exchange(other)
+	is.Equal(simulation.violation, "")
+}
