Heed a deregistration that comes during the registration

What callers would see: a request that reaches an upstream later than it may after it said that it leaves (rule DRAIN), for up to a heartbeat.

Whether an upstream has deregistered was asked before its registration was committed; a deregistration in between found no record and was acknowledged, and the upstream was registered as ready.

Evidence: TestDeregistrationDuringFirstRegistration, by the reviewer, new, failed before.

Change: it is asked again after the commit, and the upstream registered as draining.

After: the test passes.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -69,6 +69,13 @@
 	if err := coordinator.registerInstance(ctx, heartbeat.Instance); err != nil {
 		return HeartbeatReply{}, err
 	}
+	// The upstream may have deregistered while its registration was committed.
+	if !heartbeat.Instance.Draining && coordinator.holds.hasDeparted(heartbeat.Instance.Owner()) {
+		heartbeat.Instance.Draining = true
+		if err := coordinator.registerInstance(ctx, heartbeat.Instance); err != nil {
+			return HeartbeatReply{}, err
+		}
+	}
 	heartbeatreply, err := coordinator.renew(ctx, term, heartbeat, received)
 	switch {
 	case errors.Is(err, errSuperseded):
--- a/internal/control/steer/reassign_test.go
+++ b/internal/control/steer/reassign_test.go
@@ -60,3 +60,21 @@
 	simulation.exchange(other)
 	is.Equal(simulation.violation, "")
 }
+
+// TestDeregistrationDuringFirstRegistration guards against an upstream that is offered
+// work after its deregistration was acknowledged, since its first registration was being
+// committed then.
+func TestDeregistrationDuringFirstRegistration(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(1, 2)
+	leaving := simulation.addUpstream()
+	call := simulation.send(leaving)
+	heartbeat := simulation.startHeartbeat(call)
+	simulation.scheduler.runUntil(heartbeat, "before commit state.RegisterInstance")
+	is.True(!heartbeat.ended)
+	simulation.scheduler.finish(simulation.startDeregistration(leaving))
+	simulation.scheduler.finish(heartbeat)
+	is.NoErr(call.err)
+	instance, known := simulation.group.catalog.Instances[leaving.instance.ID]
+	is.True(!known || instance.Draining)
+}
