Grant holds to a repeated heartbeat also after the first was recorded

What callers would see: an upstream gets no holds, or no order to release keys, in the only answer that reaches it.

Evidence: TestHeartbeatResentDuringChangeIsGranted, by the reviewer, new, failed before.

Change: only a lower sequence is out of date. How long the holds last counts from the first attempt that was recorded.

After: the test passes.

--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -163,7 +163,7 @@
 		}
 	}
 	known, ok := holdtable.upstreams[instance.Owner()]
-	return !ok || heartbeat.Sequence > known.sequence
+	return !ok || heartbeat.Sequence >= known.sequence
 }
 
 // isReplaced reports whether a later process of the upstream is known.
--- a/internal/control/steer/reassign_test.go
+++ b/internal/control/steer/reassign_test.go
@@ -78,3 +78,27 @@
 	instance, known := simulation.group.catalog.Instances[leaving.instance.ID]
 	is.True(!known || instance.Draining)
 }
+
+// TestHeartbeatResentDuringChangeIsGranted guards against an answer without holds to a
+// heartbeat that is forwarded again, since its first attempt waits for the ownership
+// change that it caused.
+func TestHeartbeatResentDuringChangeIsGranted(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(1, 2)
+	upstream := simulation.upstreams[0]
+	for upstream.call != nil {
+		simulation.step()
+	}
+	upstream.instance.Draining = true
+	first := simulation.send(upstream)
+	second := &call{upstream: upstream, heartbeat: first.heartbeat, sentAt: first.sentAt}
+	attempt := simulation.startHeartbeat(first)
+	simulation.scheduler.runUntil(attempt, "before commit state.ChangeSpans")
+	is.True(!attempt.ended)
+	simulation.advance(400 * time.Millisecond)
+	resent := simulation.startHeartbeat(second)
+	simulation.scheduler.finish(resent)
+	simulation.scheduler.finish(attempt)
+	is.NoErr(second.err)
+	is.True(second.answer.Renewed) // the only answer that reaches the upstream
+}
