Log keys that are assigned anew as what they are

The line on ended holds also stood for keys that their owner had released and was assigned anew, which OPERATIONS.md would take for the fault.

--- a/internal/control/steer/reassign_test.go
+++ b/internal/control/steer/reassign_test.go
@@ -102,3 +102,62 @@
 	is.NoErr(second.err)
 	is.True(second.answer.Renewed) // the only answer that reaches the upstream
 }
+
+// TestKeysAssignedAnewAreNotLoggedAsEnded guards against a log line that says that the
+// holds of an upstream have ended, when a tick assigns keys to it anew that it released.
+func TestKeysAssignedAnewAreNotLoggedAsEnded(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(2, 4)
+	upstream, other := simulation.upstreams[0], simulation.upstreams[1]
+	for upstream.call != nil || other.call != nil {
+		simulation.step()
+	}
+	members := simulation.group.members
+	simulation.pollBusyKeys()
+	simulation.advance(balanceInterval)
+	lost := simulation.startTick(members[0])
+	simulation.scheduler.runUntil(lost, "before commit state.ChangeSpans")
+	is.True(!lost.ended)
+	simulation.exchange(upstream)
+	is.True(len(upstream.released) > 0)
+	simulation.group.elect(members[1], false)
+	simulation.scheduler.finish(lost)
+	// The next leader receives the release while it moves the keys of another upstream.
+	simulation.setEvacuated(other, true)
+	tick := simulation.startTick(members[1])
+	simulation.scheduler.runUntil(tick, "before commit state.ChangeSpans")
+	is.True(!tick.ended)
+	simulation.exchange(upstream)
+	is.Equal(len(upstream.released), 0)
+	simulation.scheduler.finish(tick)
+	simulation.events = nil
+	simulation.tick()
+	for _, event := range simulation.events {
+		if len(event.values) == 0 || event.values[0] != logPrefix+"holds of a key range have ended" {
+			continue
+		}
+		t.Errorf("%v", event.values)
+	}
+}
+
+// TestRepeatedDeregistrationOfEarlierProcess guards against a new process under an old ID
+// that stays draining for its whole life, since the deregistration of its predecessor was
+// delivered twice, as no answer to the first delivery arrived in time.
+func TestRepeatedDeregistrationOfEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(1, 2)
+	upstream := simulation.upstreams[0]
+	for upstream.call != nil {
+		simulation.step()
+	}
+	simulation.scheduler.finish(simulation.startDeregistration(upstream))
+	simulation.advance(100 * time.Millisecond)
+	simulation.restart(upstream)
+	simulation.exchange(upstream)
+	instance := simulation.group.catalog.Instances[upstream.instance.ID]
+	is.Equal(instance.Born, upstream.instance.Born)
+	is.True(!instance.Draining)
+	simulation.advance(200 * time.Millisecond)
+	simulation.scheduler.finish(simulation.startDeregistration(upstream)) // the second delivery
+	is.True(!simulation.group.catalog.Instances[upstream.instance.ID].Draining)
+}
--- a/internal/control/steer/trace.go
+++ b/internal/control/steer/trace.go
@@ -85,7 +85,7 @@
 
 func (coordinator *Coordinator) logDirect(assessment assessment, service string, change spans.Change, message string) {
 	span := assessment.catalog.Spans[service].Find(change.From)
-	if span.Owner == (spans.Owner{}) {
+	if span.Owner == (spans.Owner{}) || span.Owner == change.Owner {
 		return
 	}
 	coordinator.log.WithField("service", service).WithField("from", change.From).WithField("to", change.To).
