--- a/internal/control/steer/reassign_test.go
+++ b/internal/control/steer/reassign_test.go
@@ -161,3 +161,30 @@
 	simulation.scheduler.finish(simulation.startDeregistration(upstream)) // the second delivery
 	is.True(!simulation.group.catalog.Instances[upstream.instance.ID].Draining)
 }
+
+// TestReleasedKeysOfLastUpstreamAreGranted guards against keys without a holder for as long
+// as no other upstream can take them: their draining owner let go of them while another
+// change was under way, and the others stopped taking keys before they were marked.
+func TestReleasedKeysOfLastUpstreamAreGranted(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(1, 4)
+	draining := simulation.upstreams[0]
+	for draining.call != nil {
+		simulation.step()
+	}
+	simulation.setEvacuated(simulation.upstreams[1], true)
+	tick := simulation.startTick(simulation.group.leader)
+	simulation.scheduler.runUntil(tick, "before append state.ChangeSpans")
+	is.True(!tick.ended)
+	draining.instance.Draining = true
+	simulation.exchange(draining)
+	is.Equal(len(draining.rows), 0)
+	simulation.setEvacuated(simulation.upstreams[2], true)
+	simulation.setEvacuated(simulation.upstreams[3], true)
+	simulation.scheduler.finish(tick)
+	for range 10 {
+		simulation.tick()
+		simulation.exchange(draining)
+	}
+	is.True(len(draining.rows) > 0)
+}
