--- a/internal/control/steer/random_test.go
+++ b/internal/control/steer/random_test.go
@@ -24,9 +24,9 @@
 const interimLeader = "interim leader"
 
 var (
-	often     = []int{0, 100, 300}
-	sometimes = []int{0, 0, 0, 0, 100, 500}
-	rarely    = []int{0, 0, 0, 0, 400, 1000}
+	often     = []int{0, 0, 250, 600}
+	sometimes = []int{0, 0, 0, 0, 0, 0, 200, 800}
+	rarely    = []int{0, 0, 0, 0, 0, 0, 500, 1000}
 )
 
 var faults = []fault{
@@ -238,7 +238,7 @@
 	now := chaos.clock.Now()
 	for _, operation := range append([]*operation(nil), chaos.scheduler.operations...) {
 		if operation.seam == "start" {
-			operation.prompt = operation.prompt || chaos.oneIn(2)
+			operation.prompt = operation.prompt || chaos.oneIn(4)
 		}
 		if now.Sub(operation.startedAt) > operation.timeout {
 			operation.timedOut = true
