--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -11,33 +11,6 @@
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
-// upstreamState is what the leader knows of one process of an upstream.
-type upstreamState struct {
-	// sequence is that of the latest recorded heartbeat.
-	sequence      uint64
-	lastHeartbeat time.Time
-	// holdsUntil is when all holds of this process have certainly expired.
-	holdsUntil time.Time
-	// newestFence is the highest fence that the process has reported as held in this term.
-	newestFence uint64
-	// released are the key ranges of its spans that the process has released. They are not
-	// granted to it again under the same fence, so that a fence stands for one holding.
-	released []endedHold
-	// missing are the key ranges of its spans that its latest heartbeat does not report
-	// although it reports a hold with the same fence or a later one. The process has lost
-	// or released them, so they are not granted again under the same fence either.
-	missing []endedHold
-	// interval is the time between two regular heartbeats.
-	interval time.Duration
-}
-
-// endedHold is a key range that an upstream has released, and the fence of the
-// assignment under which it held the range.
-type endedHold struct {
-	Release
-	fence uint64
-}
-
 // moveID identifies a span that is moving away from an owner.
 type moveID struct {
 	service string
@@ -45,60 +18,6 @@
 	fence   uint64
 }
 
-// reservation is an ownership change that may be committed. It is open, and keeps
-// its key ranges from being granted, while the service's table is still at the
-// version that the change is based on.
-type reservation struct {
-	command state.ChangeSpans
-	// term is the leadership term in which the change was decided. It is valid only
-	// if it is also appended to the log in that term.
-	term uint64
-	// proposing is set while the outcome of a proposal is awaited.
-	proposing bool
-}
-
-// isOpen reports whether the change may still be committed, and has not been as of
-// the catalog.
-func (reservation *reservation) isOpen(catalog *state.Catalog) bool {
-	return reservation != nil && catalog.Spans[reservation.command.Service].Version == reservation.command.Base
-}
-
-// within returns the key ranges of the span that the change covers.
-func (reservation *reservation) within(span spans.Span) []keyRange {
-	var ranges []keyRange
-	for _, change := range reservation.command.Changes {
-		if change.From <= span.To && change.To >= span.From {
-			ranges = append(ranges, keyRange{from: max(change.From, span.From), to: min(change.To, span.To)})
-		}
-	}
-	return ranges
-}
-
-// keyRange is a range of keys, both ends included.
-type keyRange struct{ from, to uint16 }
-
-// without returns the parts of the range that none of the others covers.
-func (keyrange keyRange) without(others []keyRange) []keyRange {
-	rest := []keyRange{keyrange}
-	for _, other := range others {
-		var next []keyRange
-		for _, part := range rest {
-			if other.to < part.from || other.from > part.to {
-				next = append(next, part)
-				continue
-			}
-			if part.from < other.from {
-				next = append(next, keyRange{from: part.from, to: other.from - 1})
-			}
-			if part.to > other.to {
-				next = append(next, keyRange{from: other.to + 1, to: part.to})
-			}
-		}
-		rest = next
-	}
-	return rest
-}
-
 // holdTable knows which upstreams may hold keys in the leader's term. Granting
 // holds, deciding that an owner holds nothing, and reserving key ranges for a change
 // that relies on it are single steps under its mutex, each on the catalog as it is
@@ -203,80 +122,6 @@
 	return true, nil
 }
 
-// addReleases keeps what the heartbeat releases of the spans that the process owns, and
-// what is missing of them in its holds. What it reports as held it has been granted again.
-func (upstreamstate *upstreamState) addReleases(heartbeat Heartbeat, owned []spans.Span) {
-	var held []keyRange
-	newest := uint64(0)
-	for _, hold := range heartbeat.Holds {
-		held = append(held, keyRange{from: hold.From, to: hold.To})
-		newest = max(newest, hold.Fence)
-	}
-	upstreamstate.newestFence = max(upstreamstate.newestFence, newest)
-	for _, span := range owned {
-		for _, release := range heartbeat.Released {
-			ended := endedHold{Release: release, fence: span.Fence}
-			if release.From <= span.To && release.To >= span.From && !slices.Contains(upstreamstate.released, ended) {
-				upstreamstate.released = append(upstreamstate.released, ended)
-			}
-		}
-	}
-	upstreamstate.released = withoutRanges(upstreamstate.released, held)
-	upstreamstate.missing = nil
-	for _, span := range owned {
-		if newest >= span.Fence {
-			whole := endedHold{Release: Release{From: span.From, To: span.To}, fence: span.Fence}
-			upstreamstate.missing = append(upstreamstate.missing, withoutRanges([]endedHold{whole}, held)...)
-		}
-	}
-}
-
-// withoutRanges returns what remains of ended holds outside the ranges.
-func withoutRanges(ended []endedHold, ranges []keyRange) []endedHold {
-	var rest []endedHold
-	for _, hold := range ended {
-		for _, part := range (keyRange{from: hold.From, to: hold.To}).without(ranges) {
-			rest = append(rest, endedHold{Release: Release{From: part.from, To: part.to, Handover: hold.Handover}, fence: hold.fence})
-		}
-	}
-	return rest
-}
-
-// releasedOf returns the releases of keys of the span, reduced to these keys.
-func (upstreamstate *upstreamState) releasedOf(span spans.Span) []Release {
-	return within(upstreamstate.released, span)
-}
-
-// endedOf returns the key ranges of the span that the process has released or lost.
-func (upstreamstate *upstreamState) endedOf(span spans.Span) []Release {
-	releases := upstreamstate.releasedOf(span)
-	var covered []keyRange
-	for _, release := range releases {
-		covered = append(covered, keyRange{from: release.From, to: release.To})
-	}
-	return append(releases, within(withoutRanges(upstreamstate.missing, covered), span)...)
-}
-
-// within returns the ended holds of keys of the span, reduced to these keys.
-func within(holds []endedHold, span spans.Span) []Release {
-	var releases []Release
-	for _, ended := range holds {
-		if ended.fence == span.Fence && ended.From <= span.To && ended.To >= span.From {
-			releases = append(releases, Release{From: max(ended.From, span.From), To: min(ended.To, span.To), Handover: ended.Handover})
-		}
-	}
-	return releases
-}
-
-// forget drops the releases of keys that are not among the owned spans any more.
-func (upstreamstate *upstreamState) forget(owned []spans.Span) {
-	upstreamstate.released = slices.DeleteFunc(upstreamstate.released, func(ended endedHold) bool {
-		return !slices.ContainsFunc(owned, func(span spans.Span) bool {
-			return span.Fence == ended.fence && span.From <= ended.To && span.To >= ended.From
-		})
-	})
-}
-
 // grant decides which holds the upstream gets in the reply to its heartbeat, and
 // records when they expire.
 func (holdtable *holdTable) grant(term uint64, heartbeat Heartbeat, received time.Time) (HeartbeatReply, grantDecision, error) {
@@ -438,99 +283,6 @@
 	return true
 }
 
-// letGo is a key range of a span that its owner no longer holds, as it released the
-// range or left it out of its heartbeats, and the upstream that is to hold it next.
-type letGo struct {
-	Release
-	span      spans.Span
-	successor spans.Owner
-	released  bool
-}
-
-// reserveLeftOut reserves keys that the upstream, as its latest heartbeat shows, no
-// longer holds: moving ones for their next owners, others for itself under a new fence.
-func (holdtable *holdTable) reserveLeftOut(term uint64, heartbeat Heartbeat) (*reservation, []letGo) {
-	holdtable.mutex.Lock()
-	defer holdtable.mutex.Unlock()
-	owner, service := heartbeat.Instance.Owner(), heartbeat.Instance.Service
-	known, ok := holdtable.upstreams[owner]
-	if holdtable.term != term || !ok || known.sequence != heartbeat.Sequence {
-		return nil, nil
-	}
-	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
-	stays := !canLeave(catalog, owner)
-	var gone []letGo
-	for _, span := range catalog.Spans[service].OwnedBy(owner) {
-		// Without a release, an answer in flight may still grant the keys.
-		waited := span.Moving() && !overlaps(heartbeat.Holds, span) &&
-			holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
-		switch {
-		case span.Moving() && holdtable.countsReleases(known, span, now) && len(known.releasedOf(span)) > 0:
-			gone = append(gone, letGoAll(span, known.releasedOf(span), span.Next)...)
-		case waited:
-			gone = append(gone, letGo{Release: Release{From: span.From, To: span.To}, span: span, successor: span.Next})
-		case !span.Moving() && stays:
-			gone = append(gone, letGoAll(span, known.endedOf(span), owner)...)
-		}
-	}
-	return holdtable.reserveGone(catalog, service, gone, now)
-}
-
-func letGoAll(span spans.Span, releases []Release, successor spans.Owner) []letGo {
-	gone := make([]letGo, 0, len(releases))
-	for _, release := range releases {
-		gone = append(gone, letGo{Release: release, span: span, successor: successor, released: true})
-	}
-	return gone
-}
-
-// reserveReleased reserves all moving keys of a service that their owners have released
-// for their next owners. Releases are kept until then, as another change may be under way
-// when they arrive.
-func (holdtable *holdTable) reserveReleased(term uint64, service string) (*reservation, []letGo) {
-	holdtable.mutex.Lock()
-	defer holdtable.mutex.Unlock()
-	if holdtable.term != term {
-		return nil, nil
-	}
-	catalog, now := holdtable.node.Catalog(), holdtable.clock.Now()
-	var gone []letGo
-	for _, span := range catalog.Spans[service].Spans {
-		known, ok := holdtable.upstreams[span.Owner]
-		if ok && span.Moving() && holdtable.countsReleases(known, span, now) {
-			gone = append(gone, letGoAll(span, known.releasedOf(span), span.Next)...)
-		}
-	}
-	return holdtable.reserveGone(catalog, service, gone, now)
-}
-
-func (holdtable *holdTable) reserveGone(catalog *state.Catalog, service string, gone []letGo, now time.Time) (*reservation, []letGo) {
-	changes := make([]spans.Change, 0, len(gone))
-	for _, letgo := range gone {
-		changes = append(changes, spans.Change{
-			From: letgo.From, To: letgo.To, Owner: letgo.successor, Handover: letgo.Handover,
-			Settle: holdtable.untilNextHeartbeat(letgo.successor, now) + settleMargin,
-		})
-	}
-	return holdtable.reserve(catalog, service, changes), gone
-}
-
-// countsReleases reports whether the releases of the span are those of its present
-// assignment. A release may repeat that of an earlier one until it is acknowledged, so it
-// counts once the process has reported a hold that it learned of with this assignment or
-// later, or if it can't hold the span by a grant of an earlier leader.
-func (holdtable *holdTable) countsReleases(known *upstreamState, span spans.Span, now time.Time) bool {
-	return known.newestFence >= span.Fence || holdtable.grantedInTerm(span, now)
-}
-
-// grantedInTerm reports whether all grants of a span that can still be in force were
-// made in this term. Only then is a heartbeat that reports nothing of the span
-// certainly later than them: heartbeats may arrive seconds late, and what earlier
-// leaders answered is not known.
-func (holdtable *holdTable) grantedInTerm(span spans.Span, now time.Time) bool {
-	return span.Fence > holdtable.termIndex || now.After(holdtable.termStart.Add(holdExpiry))
-}
-
 // movingLongerThan reports whether a span has been moving for longer than the
 // duration.
 func (holdtable *holdTable) movingLongerThan(service string, span spans.Span, duration time.Duration, now time.Time) bool {
