--- a/internal/control/steer/heartbeat_test.go
+++ b/internal/control/steer/heartbeat_test.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -18,9 +17,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 2)
 	upstream := simulation.upstreams[0]
-	for upstream.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(upstream)
 	upstream.instance.Draining = true
 	first := simulation.send(upstream)
 	second := &call{upstream: upstream, heartbeat: first.heartbeat, sentAt: first.sentAt}
@@ -56,9 +53,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 4)
 	draining, other := simulation.upstreams[0], simulation.upstreams[1]
-	for draining.call != nil || other.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(draining, other)
 	simulation.setEvacuated(other, true)
 	tick := simulation.startTick(simulation.group.leader)
 	simulation.scheduler.runUntil(tick, "before append state.ChangeSpans")
@@ -74,19 +69,8 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 2)
 	upstream, leader := simulation.upstreams[0], simulation.group.leader
-	for upstream.call != nil || simulation.upstreams[1].call != nil {
-		simulation.step()
-	}
-	var busy []uint16
-	for key := range uint16(1000) {
-		busy = append(busy, key)
-	}
-	entry := state.Entry{Name: "entry"}
-	simulation.group.waiting = append(simulation.group.waiting, &logEntry{command: state.RegisterEntry{Entry: entry}})
-	simulation.group.commit()
-	args := PollArgs{Entry: entry, Keys: map[string][]uint16{jobs: busy}}
-	_, err := leader.coordinator.Poll(context.Background(), args)
-	is.NoErr(err)
+	simulation.awaitAnswers(upstream, simulation.upstreams[1])
+	simulation.pollBusyKeys()
 	simulation.advance(balanceInterval)
 	tick := simulation.startTick(leader)
 	simulation.scheduler.runUntil(tick, "before commit state.ChangeSpans")
--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"testing"
 	"time"
-
-	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
 // eachSwitch runs a scenario with one switch between operations, once for each seam of
@@ -107,13 +105,6 @@
 	return added
 }
 
-// evacuate starts the evacuation of an upstream's data centre.
-func (simulation *simulation) evacuate(upstream *upstream) {
-	simulation.group.waiting = append(simulation.group.waiting, &logEntry{command: state.EvacuateDataCentre{Name: upstream.instance.DataCentre, Evacuated: true}})
-	simulation.group.commit()
-	simulation.group.publish()
-}
-
 // TestGrantBetweenJudgementAndReservation guards against two holders of keys whose
 // owner is granted them anew after a tick has found that its holds have ended.
 func TestGrantBetweenJudgementAndReservation(t *testing.T) {
@@ -135,7 +126,7 @@
 		{"an upstream learns of its first keys when its data centre is evacuated", func() (*simulation, *upstream) {
 			simulation := newIdleSimulation(1, 2)
 			upstream := simulation.assignUntold()
-			simulation.evacuate(upstream)
+			simulation.setEvacuated(upstream, true)
 			return simulation, upstream
 		}},
 		{"an upstream learns of its first keys when it begins to drain", func() (*simulation, *upstream) {
@@ -175,13 +166,13 @@
 		{"of an upstream that was silent, in an evacuated data centre", func() (*simulation, *upstream) {
 			simulation := newIdleSimulation(1, 3)
 			simulation.silence(simulation.upstreams[0])
-			simulation.evacuate(simulation.upstreams[0])
+			simulation.setEvacuated(simulation.upstreams[0], true)
 			return simulation, simulation.upstreams[0]
 		}},
 		{"of an upstream that has not been told of its keys, in an evacuated data centre", func() (*simulation, *upstream) {
 			simulation := newIdleSimulation(1, 2)
 			upstream := simulation.assignUntold()
-			simulation.evacuate(upstream)
+			simulation.setEvacuated(upstream, true)
 			return simulation, upstream
 		}},
 	} {
@@ -204,7 +195,7 @@
 func TestGrantBeforeChangeIsVisible(t *testing.T) {
 	simulation := newIdleSimulation(1, 2)
 	upstream := simulation.assignUntold()
-	simulation.evacuate(upstream)
+	simulation.setEvacuated(upstream, true)
 	simulation.group.delayed = true
 	simulation.scheduler.finish(simulation.startTick(simulation.group.leader))
 	simulation.exchange(upstream)
@@ -281,7 +272,7 @@
 	eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
 		simulation := newIdleSimulation(2, 2)
 		upstream := simulation.assignUntold()
-		simulation.evacuate(upstream)
+		simulation.setEvacuated(upstream, true)
 		members := simulation.group.members
 		call := simulation.send(upstream)
 		call.answerDelay = 0
@@ -307,9 +298,7 @@
 	eachSwitch(t, func() (*simulation, *upstream, *operation, func()) {
 		simulation := newIdleSimulation(1, 3)
 		upstream := simulation.upstreams[0]
-		for upstream.call != nil {
-			simulation.step()
-		}
+		simulation.awaitAnswers(upstream)
 		upstream.instance.Slots++
 		earlier := simulation.send(upstream)
 		simulation.advance(200 * time.Millisecond)
--- a/internal/control/steer/reassign_test.go
+++ b/internal/control/steer/reassign_test.go
@@ -27,9 +27,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(3, 2)
 	upstream, other := simulation.upstreams[0], simulation.upstreams[1]
-	for upstream.call != nil || other.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(upstream, other)
 	members := simulation.group.members
 	simulation.pollBusyKeys()
 	simulation.advance(balanceInterval)
@@ -86,9 +84,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 2)
 	upstream := simulation.upstreams[0]
-	for upstream.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(upstream)
 	upstream.instance.Draining = true
 	first := simulation.send(upstream)
 	second := &call{upstream: upstream, heartbeat: first.heartbeat, sentAt: first.sentAt}
@@ -109,9 +105,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(2, 4)
 	upstream, other := simulation.upstreams[0], simulation.upstreams[1]
-	for upstream.call != nil || other.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(upstream, other)
 	members := simulation.group.members
 	simulation.pollBusyKeys()
 	simulation.advance(balanceInterval)
@@ -147,9 +141,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 2)
 	upstream := simulation.upstreams[0]
-	for upstream.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(upstream)
 	simulation.scheduler.finish(simulation.startDeregistration(upstream))
 	simulation.advance(100 * time.Millisecond)
 	simulation.restart(upstream)
@@ -169,9 +161,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 4)
 	draining := simulation.upstreams[0]
-	for draining.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(draining)
 	simulation.setEvacuated(simulation.upstreams[1], true)
 	tick := simulation.startTick(simulation.group.leader)
 	simulation.scheduler.runUntil(tick, "before append state.ChangeSpans")
--- a/internal/control/steer/release_test.go
+++ b/internal/control/steer/release_test.go
@@ -58,9 +58,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			simulation := newIdleSimulation(2, 2)
 			upstream, other := simulation.upstreams[0], simulation.upstreams[1]
-			for upstream.call != nil || other.call != nil {
-				simulation.step()
-			}
+			simulation.awaitAnswers(upstream, other)
 			late := test.late(simulation, upstream)
 			simulation.exchange(upstream)
 			if len(upstream.rows) == 0 {
@@ -92,9 +90,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 4)
 	draining, other := simulation.upstreams[0], simulation.upstreams[1]
-	for draining.call != nil || other.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(draining, other)
 	draining.instance.Draining = true
 	simulation.exchange(draining)
 	is.Equal(len(draining.rows), 0)     // it has released its keys
@@ -118,9 +114,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(3, 2)
 	upstream, other := simulation.upstreams[0], simulation.upstreams[1]
-	for upstream.call != nil || other.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(upstream, other)
 	members := simulation.group.members
 	// The answer leaves out keys that are reserved for a move, and the move is lost.
 	simulation.releaseDelay = func() time.Duration { return 300 * time.Millisecond }
@@ -165,9 +159,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(2, 3)
 	draining := simulation.upstreams[0]
-	for draining.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(draining)
 	draining.instance.Draining = true
 	simulation.exchange(draining)
 	is.Equal(len(draining.rows), 0)
@@ -191,9 +183,7 @@
 	is := is.New(t)
 	simulation := newIdleSimulation(1, 2)
 	owner, other := simulation.upstreams[0], simulation.upstreams[1]
-	for owner.call != nil || other.call != nil {
-		simulation.step()
-	}
+	simulation.awaitAnswers(owner, other)
 	simulation.releaseDelay = func() time.Duration { return 200 * time.Millisecond }
 	// Balancing moves a part of the owner's span. The answer to a heartbeat leaves out the
 	// whole span meanwhile.
--- a/internal/control/steer/simulation_test.go
+++ b/internal/control/steer/simulation_test.go
@@ -422,6 +422,14 @@
 	return text.String()
 }
 
+// awaitAnswers advances the simulation until none of the upstreams waits for the answer
+// to a heartbeat.
+func (simulation *simulation) awaitAnswers(upstreams ...*upstream) {
+	for slices.ContainsFunc(upstreams, func(upstream *upstream) bool { return upstream.call != nil }) {
+		simulation.step()
+	}
+}
+
 // exchange sends an upstream's heartbeat and processes it and its answer at once. A
 // heartbeat that is on its way is lost.
 func (simulation *simulation) exchange(upstream *upstream) {
