Show in the logs which requests are the same request sent again

The relay's lines now carry 'content', the fingerprint of workspace, method, host, target and body. Ruled out: the key as part of it, since it follows from the target. The test failed before, as no line had the field.

--- a/internal/dispatch/calls/calls.go
+++ b/internal/dispatch/calls/calls.go
@@ -18,6 +18,10 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("calls")
 
+// fingerprintBytes is the length of a fingerprint before it is encoded as hexadecimal
+// text.
+const fingerprintBytes = 16
+
 // The kinds of link payloads.
 const (
 	KindCall    = "call"
@@ -64,13 +68,18 @@
 // SetFingerprint sets the fingerprint, a hash of the request's content without its
 // header and idempotency key.
 func (request *Request) SetFingerprint() {
+	request.Fingerprint = Fingerprint(request.Body, request.Workspace, request.Service, request.Key, request.Method, request.Target)
+}
+
+// Fingerprint returns a hash of a request's body and the other parts of its content.
+func Fingerprint(body []byte, parts ...string) string {
 	digest := sha256.New()
-	for _, part := range []string{request.Workspace, request.Service, request.Key, request.Method, request.Target} {
+	for _, part := range parts {
 		_, _ = digest.Write([]byte(part))
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(request.Body)
-	request.Fingerprint = hex.EncodeToString(digest.Sum(nil)[:16])
+	_, _ = digest.Write(body)
+	return hex.EncodeToString(digest.Sum(nil)[:fingerprintBytes])
 }
 
 // Ran states whether a refused request ran.
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -87,6 +87,9 @@
 		"request": exchange.caller.ID, "route": exchange.route.Name, "service": exchange.service, "workspace": exchange.workspace,
 		"sends": exchange.sends, "after": now.Sub(exchange.arrived).String(), "patience": exchange.caller.Timeout.String(), "version": exchange.config.Index,
 	}
+	if exchange.content != "" {
+		line["content"] = exchange.content
+	}
 	if exchange.caller.HasShardKey {
 		line["key"] = exchange.caller.ShardKey
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -19,6 +19,7 @@
 	"damaskcrank.example/damaskcrank/internal/base/stats"
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
@@ -150,7 +151,9 @@
 	arrived   time.Time
 	deadline  time.Time
 	body      []byte
-	sends     int
+	// content is the fingerprint of the request's content, empty until the body is read.
+	content string
+	sends   int
 	// mayHaveRun is set once an upstream may have begun the request.
 	mayHaveRun bool
 	// possibleRuns counts the upstreams that may have begun the request.
@@ -313,9 +316,17 @@
 		return &refusal{status: http.StatusBadRequest, reason: "bodyCut"}
 	}
 	exchange.body = body
+	exchange.content = exchange.fingerprint()
 	return nil
 }
 
+// fingerprint identifies what stays the same when a request is sent again: its
+// workspace, its target and its body, but not its ID.
+func (exchange *exchange) fingerprint() string {
+	request := exchange.request
+	return calls.Fingerprint(exchange.body, exchange.workspace, request.Method, request.Host, request.RequestURI)
+}
+
 // serve forwards the request, with retries, until it has a response or must not be
 // retried.
 func (exchange *exchange) serve() {
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
@@ -185,3 +187,28 @@
 		})
 	}
 }
+
+// TestResentRequestsShareContentInLogs guards against logs that can't show that requests
+// with different IDs are the same request sent again, so that upstreams which end under
+// it seem to end without a cause.
+func TestResentRequestsShareContentInLogs(t *testing.T) {
+	is := is.New(t)
+	relay := newRelay(t, startUpstreams(t, lost), 0)
+	handler := memory.New()
+	relay.Log = &log.Logger{Handler: handler, Level: log.InfoLevel}
+	for number, body := range []string{"same", "same", "other"} {
+		request := httptest.NewRequest(http.MethodPost, "http://host/book/x", strings.NewReader(body))
+		request.Header.Set("Id", fmt.Sprint("r-", number))
+		request.Header.Set("Key", "k")
+		relay.ServeHTTP(httptest.NewRecorder(), request)
+	}
+	contents := map[any]any{}
+	for _, entry := range handler.Entries {
+		if entry.Message == "relay: request failed" {
+			contents[entry.Fields.Get("request")] = entry.Fields.Get("content")
+		}
+	}
+	is.True(contents["r-0"] != nil)
+	is.Equal(contents["r-0"], contents["r-1"])
+	is.True(contents["r-0"] != contents["r-2"])
+}
