Refuse requests that end each upstream that runs them

What callers saw: one request, sent again and again under new IDs, ended seven upstreams of fieldjobs one after the other; the keys of each had no owner for some four seconds (22 refusals of job-lookup in two seconds of the record, 3 in the second before).

Cause: the entry hosts that send straight to upstreams had no containment at all. It stood in dispatch/shard, on the product's own path, and DESIGN and FAULTS spoke as if it held for both. What added to it, and is mended too: attempts whose caller has left or whose time is over count as cancelled (in the record the caller's time ended 8 ms before the run began), and our own retry of a cut lookup ends a second upstream.

Change: package crash attributes an upstream's end to the requests that were cut there: a cut connection and then a closed port, or a newer process with its ID or address. Connections that are given up are watched 50 ms longer. Hosts report with their polls until the catalog shows it, so that reports survive leaders, and the leader commits them (UpdateSuspects). After three ended processes without an answer in between, all hosts refuse the request; after the first one there is no retry of ours. An answer clears it.

Ruled out: two ends as on the product's own path (a bystander is refused wrongly in p squared of the requests that are sent so often, 4 in 100,000 with the crashes of the test, against 2.5 in 10 million); a time after which one more is tried (the bound is for good); the cut alone as evidence.

--- a/internal/control/state/catalog.go
+++ b/internal/control/state/catalog.go
@@ -259,24 +259,6 @@
 	}
 }
 
-func (catalog *Catalog) recordSuspect(command RecordSuspect) Outcome {
-	suspect := catalog.Quarantine[command.Fingerprint]
-	if !slices.Contains(suspect.Upstreams, command.Upstream) {
-		suspect.Upstreams = append(slices.Clone(suspect.Upstreams), command.Upstream)
-	}
-	suspect.At = command.At
-	catalog.Quarantine = with(catalog.Quarantine, command.Fingerprint, suspect)
-	for fingerprint, old := range catalog.Quarantine {
-		if command.At.Sub(old.At) > quarantineTTL {
-			catalog.Quarantine = without(catalog.Quarantine, fingerprint)
-		}
-	}
-	if suspect.Quarantined() {
-		return OutcomeQuarantined
-	}
-	return OutcomeDone
-}
-
 // with returns a copy of the map with the key set to the value.
 func with[K comparable, V any](values map[K]V, key K, value V) map[K]V {
 	next := make(map[K]V, len(values)+1)
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -107,16 +107,6 @@
 	Releases   []SlotRelease
 }
 
-// RecordSuspect records that an upstream was lost while it ran a request.
-type RecordSuspect struct {
-	Fingerprint string
-	Upstream    string
-	At          time.Time
-}
-
-// ClearSuspect deletes the recorded losses of a request that ran to completion.
-type ClearSuspect struct{ Fingerprint string }
-
 // BeginRequest enters a request in the ledger before its first byte is sent.
 type BeginRequest struct {
 	Key         LedgerKey
@@ -156,8 +146,6 @@
 	kindRemoveUpstream   commandKind = "loseUpstream"
 	kindMoveSlots        commandKind = "moveSlots"
 	kindReleaseSlots     commandKind = "releaseSlots"
-	kindRecordSuspect    commandKind = "strikeRequest"
-	kindClearSuspect     commandKind = "absolveRequest"
 	kindBeginRequest     commandKind = "beginRequest"
 	kindFinishRequest    commandKind = "finishRequest"
 	kindDropRequest      commandKind = "dropRequest"
@@ -175,8 +163,6 @@
 func (RemoveUpstream) kind() commandKind   { return kindRemoveUpstream }
 func (MoveSlots) kind() commandKind        { return kindMoveSlots }
 func (ReleaseSlots) kind() commandKind     { return kindReleaseSlots }
-func (RecordSuspect) kind() commandKind    { return kindRecordSuspect }
-func (ClearSuspect) kind() commandKind     { return kindClearSuspect }
 func (BeginRequest) kind() commandKind     { return kindBeginRequest }
 func (FinishRequest) kind() commandKind    { return kindFinishRequest }
 func (DropRequest) kind() commandKind      { return kindDropRequest }
@@ -230,6 +216,7 @@
 	kindReleaseSlots:     decodeAs[ReleaseSlots],
 	kindRecordSuspect:    decodeAs[RecordSuspect],
 	kindClearSuspect:     decodeAs[ClearSuspect],
+	kindUpdateSuspects:   decodeAs[UpdateSuspects],
 	kindBeginRequest:     decodeAs[BeginRequest],
 	kindFinishRequest:    decodeAs[FinishRequest],
 	kindDropRequest:      decodeAs[DropRequest],
--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -138,6 +138,8 @@
 		for _, name := range command.Names {
 			catalog.Entries = without(catalog.Entries, name)
 		}
+	case UpdateSuspects:
+		catalog.updateSuspects(command)
 	case RegisterControlHost:
 		catalog.ControlHosts = with(catalog.ControlHosts, command.ControlHost.Address.String(), command.ControlHost)
 	default:
--- a/internal/control/state/fleet.go
+++ b/internal/control/state/fleet.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// quarantineTTL is how long a suspect request is kept after an upstream was last
-// lost with it. Older ones are removed when the next suspect is recorded.
-const quarantineTTL = time.Hour
-
 func (catalog *Catalog) openSession(index uint64, command OpenSession) {
 	session := Session{Host: command.Host, Epoch: index}
 	catalog.Sessions = with(catalog.Sessions, command.Host.Name, session)
--- a/internal/control/state/types.go
+++ b/internal/control/state/types.go
@@ -200,22 +200,6 @@
 	return table.Partitions[slot.Partition], true
 }
 
-// Suspect is a request that was running when upstreams were lost.
-type Suspect struct {
-	// Upstreams holds the distinct processes that were lost while they ran it.
-	Upstreams []string
-	At        time.Time
-}
-
-// QuarantineThreshold is the number of lost upstreams after which a request is
-// refused on all hosts.
-const QuarantineThreshold = 2
-
-// Quarantined reports whether the request is refused on all hosts.
-func (suspect Suspect) Quarantined() bool {
-	return len(suspect.Upstreams) >= QuarantineThreshold
-}
-
 // Change is one accepted version of a record.
 type Change struct {
 	Index    uint64
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -22,6 +22,9 @@
 	Work map[string]RequestStats
 	// Members is the number of control hosts that the entry host knows.
 	Members int
+	// Suspects are the changes to suspect requests that the catalog of the entry host
+	// does not show. Their times are unset.
+	Suspects state.UpdateSuspects
 }
 
 // RequestStats sums up the requests that an entry host sent to an upstream.
@@ -125,6 +128,7 @@
 				Info(logPrefix + "upstream is failing or unreachable, placing no keys on it")
 		}
 	}
+	coordinator.suspects.add(now, coordinator.node.Catalog(), args.Suspects)
 	return coordinator.allocator.Grant(now, args.Report, hosts, rates), nil
 }
 
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -97,6 +97,7 @@
 	removing   map[string]bool
 	allocator  share.Allocator
 	balancedAt time.Time
+	suspects   suspectTable
 }
 
 // New returns the Coordinator of a control host. Start must be called to run it.
@@ -142,6 +143,7 @@
 	coordinator.health = healthTable{}
 	coordinator.entries = map[string]time.Time{}
 	coordinator.removing = map[string]bool{}
+	coordinator.suspects = suspectTable{}
 	coordinator.allocator.Reset(coordinator.termStart, term)
 	coordinator.mutex.Unlock()
 	coordinator.holds.reset(term)
@@ -188,7 +190,8 @@
 	return coordinator.node.HoldsLease() && coordinator.node.Status().Term == term
 }
 
-// Tick checks for missing heartbeats and updates the placement once.
+// Tick commits reports about suspect requests, checks for missing heartbeats and
+// updates the placement once.
 func (coordinator *Coordinator) Tick() {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
@@ -196,6 +199,7 @@
 	if !leads {
 		return
 	}
+	coordinator.updateSuspects(ctx, term)
 	coordinator.checkSilence(ctx, term)
 	for name, service := range coordinator.node.Catalog().View().Services() {
 		if service.Keyed {
--- a/internal/dispatch/admit/job.go
+++ b/internal/dispatch/admit/job.go
@@ -20,6 +20,8 @@
 	// before its deadline.
 	ReasonWaited    Reason = "waitedTooLong"
 	ReasonQueueFull Reason = "queueFull"
+	// ReasonQuarantined means that upstreams ended while they ran the request.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonCallerLeft means that the caller canceled the request.
 	ReasonCallerLeft Reason = "callerLeft"
 )
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -45,6 +46,9 @@
 	// sweepInterval is the time between two sweeps for idle connections that can't be
 	// reused.
 	sweepInterval = time.Second
+	// defaultLingerTime is how long the connection of a request that was given up is
+	// watched for its end. It exceeds the time that a request is on its way.
+	defaultLingerTime = 50 * time.Millisecond
 )
 
 // Request is a request to an upstream.
@@ -55,6 +59,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// OnLateLoss, if set, is called if the context ended first and the upstream then
+	// ends the connection without a byte of the response.
+	OnLateLoss func()
 }
 
 // Response is an upstream's response with its whole body.
@@ -131,11 +138,16 @@
 	// OnUnexpectedBytes, if set, is called when a connection is closed because the
 	// upstream sent bytes on it after a complete response.
 	OnUnexpectedBytes func(address netip.AddrPort)
-	Clock             clockwork.Clock
+	// LingerTime is how long a connection is watched for OnLateLoss after the context
+	// ended; 0 means defaultLingerTime.
+	LingerTime time.Duration
+	Clock      clockwork.Clock
 
 	bodies bodies
-	mutex  sync.Mutex
-	idle   map[netip.AddrPort][]*conn
+	// lingering are the connections that are watched for OnLateLoss.
+	lingering sync.WaitGroup
+	mutex     sync.Mutex
+	idle      map[netip.AddrPort][]*conn
 	// sweeper runs the next sweep; it is nil while no connection is idle.
 	sweeper clockwork.Timer
 	closed  bool
@@ -165,7 +177,7 @@
 
 // Send sends the request once and returns the whole response. When the context
 // ends, by its deadline or by cancellation, Send fails and closes the connection,
-// which signals the upstream to stop.
+// which signals the upstream to stop, or closes it shortly after if OnLateLoss is set.
 func (pool *Pool) Send(ctx context.Context, address netip.AddrPort, request *Request) (*Response, *SendError) {
 	connection, err := pool.connect(ctx, address)
 	if err != nil {
@@ -182,6 +194,10 @@
 	if failure == nil && connection.reader.Buffered() > 0 {
 		pool.reportUnexpected(address)
 	}
+	if failure != nil && failure.Failure == FailureTimeout && failure.Received == 0 && request.OnLateLoss != nil {
+		pool.lingering.Go(func() { connection.awaitLoss(cmp.Or(pool.LingerTime, defaultLingerTime), request.OnLateLoss) })
+		return nil, failure
+	}
 	if failure != nil || !reusable || !stop() {
 		_ = connection.Close()
 		return response, failure
@@ -190,6 +206,19 @@
 	return response, nil
 }
 
+// awaitLoss closes the connection of a request that was given up, and calls onLoss if
+// the upstream ends it first.
+func (conn *conn) awaitLoss(within time.Duration, onLoss func()) {
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return
+	}
+	_, err := conn.Conn.Read(make([]byte, 1))
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		onLoss()
+	}
+}
+
 func failureOf(ctx context.Context) Failure {
 	if ctx.Err() != nil {
 		return FailureTimeout
@@ -347,6 +376,9 @@
 	}
 }
 
+// Wait blocks until no connection is watched for OnLateLoss.
+func (pool *Pool) Wait() { pool.lingering.Wait() }
+
 // Close closes all idle connections. Connections in use are closed after their
 // response.
 func (pool *Pool) Close() {
--- a/internal/entry/relay/crash_test.go
+++ b/internal/entry/relay/crash_test.go
@@ -11,11 +11,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"damaskcrank.example/damaskcrank/internal/control/spans"
+	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 )
 
@@ -30,6 +32,8 @@
 	// and maxLaterSends the number of sends allowed from then on.
 	endsBeforeBound = 3
 	maxLaterSends   = 3
+	// crashLingerTime is longer than any test, so that no end comes too late.
+	crashLingerTime = time.Minute
 )
 
 // crashingUpstream is a stand-in upstream whose process ends when it begins to run a
@@ -52,6 +56,10 @@
 	upstreams []*crashingUpstream
 	// beforeEnd, if set, is called when an upstream begins to run a harmful request.
 	beforeEnd func()
+	// restartsAtOnce is set if upstreams are back before hosts can find their ports closed.
+	restartsAtOnce bool
+	// catalog is shared by all hosts.
+	catalog *state.Catalog
 
 	mutex sync.Mutex
 	// sends counts the harmful requests that upstreams began to run.
@@ -60,7 +68,7 @@
 
 func newCrashFleet(t *testing.T) *crashFleet {
 	t.Helper()
-	fleet := &crashFleet{t: t}
+	fleet := &crashFleet{t: t, catalog: &state.Catalog{}}
 	for number := range crashUpstreams {
 		upstream := &crashingUpstream{fleet: fleet, owner: spans.Owner{ID: fmt.Sprint("up-", number)}}
 		fleet.upstreams = append(fleet.upstreams, upstream)
@@ -69,6 +77,8 @@
 	}
 	for range crashHosts {
 		host := newRelayWithClock(t, &upstreams{listener: fleet.upstreams[0].listener}, 0, clockwork.NewRealClock())
+		host.Pool.LingerTime = crashLingerTime
+		host.Crashes.Suspects = func() map[string]state.Suspect { return fleet.catalog.Quarantine }
 		fleet.hosts = append(fleet.hosts, host)
 	}
 	fleet.settle()
@@ -137,9 +147,17 @@
 	}
 }
 
-// settle restarts the upstreams that ended, and lets all hosts learn of the new processes.
+// settle restarts the upstreams that ended, and lets all hosts learn of the new processes
+// and of what the others know about suspect requests.
 func (crashfleet *crashFleet) settle() {
+	for _, host := range crashfleet.hosts {
+		host.Pool.Wait()
+		if !crashfleet.restartsAtOnce {
+			host.Crashes.Wait()
+		}
+	}
 	var targets []admit.Target
+	instances := map[string]state.Instance{}
 	for _, upstream := range crashfleet.upstreams {
 		upstream.mutex.Lock()
 		ended := upstream.ended
@@ -150,9 +168,13 @@
 		targets = append(targets, admit.Target{
 			Owner: upstream.owner, Service: "jobs", Slots: 2, DataCentre: "here", Address: upstream.address,
 		})
+		instances[upstream.owner.ID] = state.Instance{ID: upstream.owner.ID, Born: upstream.owner.Born, Address: upstream.address}
 	}
 	for _, host := range crashfleet.hosts {
 		host.Scheduler.Update("jobs", targets, spans.Table{})
+		host.Crashes.Wait()
+		host.Crashes.Update(instances)
+		crashfleet.catalog, _ = crashfleet.catalog.Apply(crashfleet.catalog.Index+1, host.Crashes.Report())
 	}
 }
 
@@ -175,17 +197,20 @@
 		// leaves is set if the caller leaves when its request begins to run, and expires
 		// if its time is over then.
 		leaves, expires bool
+		restartsAtOnce  bool
 	}{
 		{name: "lookup", path: "/look/"},
 		{name: "write", path: "/book/"},
 		{name: "lookup whose caller leaves", path: "/look/", leaves: true},
 		{name: "lookup whose time is over", path: "/short-look/", expires: true},
 		{name: "write whose time is over", path: "/short-book/", expires: true},
+		{name: "upstreams that restart at once", path: "/look/", restartsAtOnce: true},
 	}
 	for _, testcase := range cases {
 		t.Run(testcase.name, func(t *testing.T) {
 			is := is.New(t)
 			fleet := newCrashFleet(t)
+			fleet.restartsAtOnce = testcase.restartsAtOnce
 			for number := range 10 {
 				ctx, leave := context.WithCancel(t.Context())
 				responded := make(chan struct{})
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -20,6 +20,7 @@
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
+	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
@@ -49,6 +50,9 @@
 	// defaultTimeout bounds requests whose caller states no timeout, in addition to
 	// the route's timeout.
 	defaultTimeout = time.Minute
+	// quarantineRetryAfter is the Retry-After for requests that end upstreams. They are
+	// refused until an operator clears them.
+	quarantineRetryAfter = time.Hour
 	// maxCauseBytes bounds the text of an error in a log line.
 	maxCauseBytes = 256
 )
@@ -116,6 +120,8 @@
 	Permits   *permit.Client
 	Pool      *pool.Pool
 	Limiter   *share.Limiter
+	// Crashes finds the requests that end upstreams.
+	Crashes *crash.Detector
 	// Config returns the current configuration.
 	Config func() ConfigSnapshot
 	// MaxConfigAge is the maximum age of the configuration's confirmation for requests
@@ -351,11 +357,19 @@
 	if service.Keyed && exchange.sends == 0 && exchange.caller.HasShardKey {
 		relay.OnKeyRequest(exchange.service, exchange.caller.ShardKey)
 	}
+	if exchange.refuseQuarantined() {
+		return false
+	}
 	permit, refused := relay.Permits.Acquire(ctx, job)
 	if refused != nil {
 		exchange.respondRefusal(refused)
 		return false
 	}
+	// The request may have been quarantined while it waited.
+	if exchange.refuseQuarantined() {
+		permit.Release(admit.ResultLeft, nil)
+		return false
+	}
 	exchange.sends++
 	response, failure := exchange.send(ctx, permit)
 	if failure != nil {
@@ -371,10 +385,26 @@
 		return exchange.retry("shed", permit)
 	}
 	permit.Release(classifyStatus(response.Status), responseinfo.Load)
+	if response.Status != http.StatusGatewayTimeout { // a 504 may come from the upstream's queue
+		relay.Crashes.Answered(exchange.content)
+	}
 	exchange.deliver(response, permit)
 	return false
 }
 
+// refuseQuarantined refuses the request if it ends the upstreams that run it.
+func (exchange *exchange) refuseQuarantined() bool {
+	verdict := exchange.relay.Crashes.Verdict(exchange.content)
+	if !verdict.Quarantined() {
+		return false
+	}
+	exchange.refuse(refusal{
+		status: http.StatusServiceUnavailable, reason: string(admit.ReasonQuarantined), retryAfter: quarantineRetryAfter,
+		inputs: log.Fields{"ends": verdict.Ends, "latestEnd": verdict.LatestAt.String()},
+	})
+	return true
+}
+
 // classifyStatus maps a response's status to the result reported for the
 // upstream. A 504 does not count as an error: the upstream is only slow.
 func classifyStatus(status int) admit.Result {
@@ -400,7 +430,14 @@
 	})
 	return relay.Pool.Send(ctx, permit.Target.Address, &pool.Request{
 		Method: exchange.request.Method, Target: exchange.request.RequestURI, Host: exchange.request.Host,
-		Header: header, Body: exchange.body,
+		Header: header, Body: exchange.body, OnLateLoss: func() { exchange.reportLoss(permit) },
+	})
+}
+
+// reportLoss reports that the upstream cut the request's connection.
+func (exchange *exchange) reportLoss(permit *permit.Permit) {
+	exchange.relay.Crashes.Lost(crash.Attempt{
+		Content: exchange.content, Owner: permit.Target.Owner, Address: permit.Target.Address,
 	})
 }
 
@@ -411,7 +448,8 @@
 
 // handleFailure reports whether a request that got no response may be retried, and
 // responds to the caller otherwise. Once a request may have run, it is retried
-// only if its route is idempotent and allows more attempts.
+// only if its route is idempotent and allows more attempts, and only if no upstream has
+// ended before while it ran the request.
 func (exchange *exchange) handleFailure(ctx context.Context, permit *permit.Permit, failure *pool.SendError) bool {
 	if exchange.request.Context().Err() != nil {
 		permit.Release(admit.ResultLeft, nil)
@@ -422,6 +460,9 @@
 		exchange.mayHaveRun = true
 		exchange.possibleRuns++
 	}
+	if failure.Failure == pool.FailureLost {
+		exchange.reportLoss(permit)
+	}
 	exchange.logEvent("no response from the upstream", permit, log.Fields{
 		"failure": string(failure.Failure), "fault": string(failure.Reason), "received": failure.Received,
 		"cause": shorten(failure.Cause.Error()), "mayHaveRun": exchange.mayHaveRun,
@@ -435,7 +476,8 @@
 		exchange.fail("timeout")
 		return false
 	}
-	if exchange.mayHaveRun && !exchange.route.Idempotent || exchange.possibleRuns >= exchange.route.Attempts {
+	suspect := failure.MayHaveRun() && exchange.relay.Crashes.Verdict(exchange.content).Ends > 0
+	if exchange.mayHaveRun && !exchange.route.Idempotent || exchange.possibleRuns >= exchange.route.Attempts || suspect {
 		exchange.fail(string(failure.Failure))
 		return false
 	}
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
@@ -128,9 +129,11 @@
 	scheduler.Update("jobs", targets, spans.Table{})
 	connections := &pool.Pool{Clock: clock, Matches: func(*pool.Request, http.Header) bool { return true }}
 	t.Cleanup(connections.Close)
+	counters := &stats.Set{}
 	return &Relay{
 		Protocol: protocol{}, Scheduler: scheduler, Pool: connections, Limiter: &share.Limiter{}, Clock: clock, Log: logger,
-		Permits: permit.NewClient(state.Entry{Name: "host"}, scheduler, nil, nil, clock, logger), Stats: &stats.Set{},
+		Permits: permit.NewClient(state.Entry{Name: "host"}, scheduler, nil, nil, clock, logger), Stats: counters,
+		Crashes: &crash.Detector{Clock: clock, Log: logger, Stats: counters},
 		Config: func() ConfigSnapshot {
 			return ConfigSnapshot{View: set.View(), Index: 1, ConfirmedAt: clock.Now().Add(-age)}
 		},
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -289,3 +289,14 @@
 	control.steer.Close()
 	control.tasks.Wait()
 }
+
+// ClearSuspect deletes what is recorded about a request that ended upstreams, by the
+// fingerprint of its content. Entry hosts then send it again.
+func ClearSuspect(ctx context.Context, settings conf.DirectSettings, content string) error {
+	client := group.NewClient(settings.ControlHosts(), trust.Secret(settings.Peer.Secret))
+	defer client.Close()
+	if _, err := client.Propose(ctx, state.UpdateSuspects{Cleared: []string{content}}); err != nil {
+		return Error.New("clear suspect %q: %w", content, err)
+	}
+	return nil
+}
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -16,6 +16,7 @@
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/control/steer"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/entry/relay"
@@ -68,11 +69,15 @@
 	server           *links.Server
 	pool             *pool.Pool
 	limiter          *share.Limiter
+	crashes          *crash.Detector
 	relay            *relay.Relay
 	callers          *http.Server
 	health           *http.Server
 	metrics          *http.Server
 	draining         atomic.Bool
+	// reports receives a signal when there is something that the next poll should report
+	// soon.
+	reports chan struct{}
 	// leaderIndex is the catalog index in the leader's latest poll reply.
 	leaderIndex atomic.Uint64
 	cancel      context.CancelFunc
@@ -110,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	entry := &Entry{
 		options: options, cancel: cancel, limiter: &share.Limiter{}, requestedKeys: map[string][]uint16{},
-		leavingSince: map[string]time.Time{}, knownAddresses: map[netip.AddrPort]bool{},
+		leavingSince: map[string]time.Time{}, knownAddresses: map[netip.AddrPort]bool{}, reports: make(chan struct{}, 1),
 		client:           group.NewClient(settings.ControlHosts(), trust.Secret(settings.Peer.Secret)),
 		scheduler:        admit.NewScheduler(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
 		primaryScheduler: admit.NewExclusiveScheduler(options.Clock, rand.Uint64()),                  //nolint:gosec // spreads load
@@ -122,8 +127,13 @@
 	}
 	entry.limiter.Borrow = entry.borrow
 	entry.follower = fetch.NewFollower(entry.client, entry.leaderIndex.Load, options.Log)
+	entry.crashes = &crash.Detector{
+		Suspects: func() map[string]state.Suspect { return entry.follower.Catalog().Quarantine }, OnReport: entry.hastenPoll,
+		Clock: options.Clock, Log: options.Log, Stats: options.Stats,
+	}
 	entry.relay = &relay.Relay{
 		Protocol: protocol, Scheduler: entry.scheduler, Permits: entry.permits, Pool: entry.pool, Limiter: entry.limiter, Config: entry.currentConfig,
+		Crashes:      entry.crashes,
 		MaxConfigAge: entry.maxAge(), OnKeyRequest: entry.recordKey, Draining: entry.draining.Load, Clock: options.Clock,
 		Log: options.Log, Stats: options.Stats, StartedAt: options.Clock.Now(),
 	}
@@ -239,6 +249,14 @@
 	}
 }
 
+// hastenPoll makes the next poll of the control leader follow soon.
+func (entry *Entry) hastenPoll() {
+	select {
+	case entry.reports <- struct{}{}:
+	default:
+	}
+}
+
 // poll polls the control leader until the context ends.
 func (entry *Entry) poll(ctx context.Context) {
 	for {
@@ -250,6 +268,7 @@
 		case <-ctx.Done():
 			return
 		case <-entry.options.Clock.After(pause):
+		case <-entry.reports:
 		}
 	}
 }
@@ -272,7 +291,7 @@
 			Draining: entry.draining.Load(),
 		},
 		Report: entry.limiter.Report(sent, settings.Host.Name), Keys: keys, Work: map[string]steer.RequestStats{},
-		Members: entry.members,
+		Members: entry.members, Suspects: entry.crashes.Report(),
 	}
 	for _, scheduler := range []*admit.Scheduler{entry.scheduler, entry.primaryScheduler} {
 		for upstream, requeststats := range scheduler.TakeStats() {
@@ -392,6 +411,7 @@
 		entry.primaryScheduler.Update(name, targets[name], catalog.Spans[name])
 	}
 	entry.permits.Update(slices.Collect(maps.Values(catalog.Entries)))
+	entry.crashes.Update(catalog.Instances)
 	entry.leavingSince = leaving
 	for address := range entry.knownAddresses {
 		if !present[address] {
