Count the end of an upstream under a request that has another attempt

On the product's own path a hedged read that ends both its upstreams could end a third.

Cause: finishAttempt gave up the result of an attempt when the request was answered already or had another attempt running, before handleResult saw that the connection was lost. The evidence went with it. Besides, the request was retried while the other of two probes was under way. Change: each lost connection is probed, and the request is retried only when all its probes have ended.

--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -34,6 +34,13 @@
 	if shard.keyMoving(job) {
 		target.grants.renewNow = true
 	}
+	if lost, ok := lostConnection(message.outcome); ok {
+		job.maybeRan = true
+		job.probes++
+		target.grants.renewNow = true
+		go shard.probeAfterLoss(job, target, lost)
+		return
+	}
 	if job.responded {
 		return
 	}
@@ -53,6 +60,17 @@
 	}
 }
 
+// lostConnection returns the result of an attempt whose connection was lost. It matters
+// also if the job was answered or has another attempt: the upstream may have ended.
+func lostConnection(outcome any) (upstr.Lost, bool) {
+	result, ok := outcome.(upstreamOutcome)
+	if !ok {
+		return upstr.Lost{}, false
+	}
+	lost, ok := result.result.(upstr.Lost)
+	return lost, ok
+}
+
 // keyMoving reports whether the request's key is moving to another upstream.
 func (shard *Shard) keyMoving(job *job) bool {
 	_, owner := shard.env.Catalog().Tables[shard.service].Find(job.request.Key)
@@ -93,10 +111,6 @@
 		job.respond(calls.Response{Answer: result.Answer, Upstream: target.upstream.ID.Name})
 	case upstr.NotRun:
 		shard.retryNotRun(job, result, now)
-	case upstr.Lost:
-		job.maybeRan = true
-		target.grants.renewNow = true
-		go shard.probeAfterLoss(job, target, result)
 	case upstr.TimedOut:
 		job.maybeRan = true
 		job.respond(timeoutOutcome(job))
@@ -187,6 +201,7 @@
 // handleLoss retries or refuses a request whose connection was lost.
 func (shard *Shard) handleLoss(message lostMessage) {
 	job := message.job
+	job.probes--
 	if message.crashed {
 		// The upstream gets no requests until it confirms a grant again.
 		message.target.grants.confirmedUntil.set(time.Time{})
@@ -194,7 +209,7 @@
 	if message.quarantinedAt > 0 {
 		shard.quarantine(job.request.Fingerprint, message.quarantinedAt)
 	}
-	if job.responded || job.inFlight > 0 {
+	if job.responded || job.inFlight > 0 || job.probes > 0 {
 		return
 	}
 	if job.request.Idempotent() && shard.retry(job, string(calls.ReasonUpstreamLost), shard.env.Clock.Now()) {
--- a/internal/dispatch/shard/once_test.go
+++ b/internal/dispatch/shard/once_test.go
@@ -295,6 +295,33 @@
 	harness.outcome(job)
 }
 
+// TestEndsUnderHedgedRequestCount hedges a read that ends both upstreams that run it. The
+// first end was not recorded, since the other attempt might still have been answered, so
+// that the read could end one upstream more.
+func TestEndsUnderHedgedRequestCount(t *testing.T) {
+	is := is.New(t)
+	harness := newHarness(t, unkeyedService, 4)
+	harness.shard.hedgeBudget = 5
+	for _, target := range harness.shard.targets {
+		target.ramp.RecordAnswer(harness.clock.Now(), 10*time.Millisecond, harness.clock.Now())
+	}
+	release := make(chan struct{})
+	harness.upstreams.send = func(_ context.Context, call upstr.Call) upstr.Result {
+		<-release
+		harness.upstreams.kill(call.Address)
+		return upstr.Lost{Err: errInjected}
+	}
+	request := newRequest(unkeyedService, http.MethodGet, "")
+	job := harness.submit(request)
+	harness.clock.Advance(time.Second / 10)
+	harness.shard.hedge(harness.clock.Now())
+	is.Equal(job.inFlight, 2)
+	close(release)
+	harness.outcome(job)
+	harness.drain()
+	is.Equal(harness.upstreams.calls(), state.QuarantineThreshold)
+}
+
 // TestQuarantineEndsWithTheCatalogs lets the catalog list and drop a request's quarantine
 // while no copy of the request arrives. The primary that had learned of the quarantine
 // from the result of its own report refused the request for as long as it ran.
--- a/internal/dispatch/shard/shard.go
+++ b/internal/dispatch/shard/shard.go
@@ -179,7 +179,9 @@
 	maybeRan bool
 	// upstreamLost is set if the upstream was lost while the request was running.
 	upstreamLost bool
-	responded    bool
+	// probes is the number of probes after lost connections that have not ended.
+	probes    int
+	responded bool
 	// startedAt is when the latest attempt was started.
 	startedAt time.Time
 	target    *target
