Read the catalog of the crash test only between its changes

The race detector showed that a host's probe could read it while another host's report was applied: in the test, not in the product, whose catalog is an atomic pointer. No check differs.

--- a/internal/entry/relay/crash_test.go
+++ b/internal/entry/relay/crash_test.go
@@ -173,6 +173,8 @@
 	for _, host := range crashfleet.hosts {
 		host.Scheduler.Update("jobs", targets, spans.Table{})
 		host.Crashes.Wait()
+	}
+	for _, host := range crashfleet.hosts {
 		host.Crashes.Update(instances)
 		crashfleet.catalog, _ = crashfleet.catalog.Apply(crashfleet.catalog.Index+1, host.Crashes.Report())
 	}
