Hear the rate limits that upstreams name, and log them

An upstream may say in its answers how many requests a second it takes from all hosts together; nothing read it. The adapter reads it now, permits carry it to the upstream's primary, and both log when it begins, changes or ends. Nothing acts on it yet. An answer without it ends the limit only if its request was sent after the limit was named, since answers overtake each other.

--- a/internal/dispatch/admit/job.go
+++ b/internal/dispatch/admit/job.go
@@ -61,9 +61,9 @@
 	upstream  *upstream
 	job       Job
 	scheduler *Scheduler
-	// started is when the ticket was granted or, on an exclusive scheduler, when
-	// the request got a slot at the upstream.
-	started time.Time
+	// granted is when the ticket was granted, and started the same or, on an exclusive
+	// scheduler, when the request got a slot at the upstream.
+	granted, started time.Time
 }
 
 // Result is the outcome of a request at its upstream.
--- a/internal/dispatch/admit/queue.go
+++ b/internal/dispatch/admit/queue.go
@@ -247,7 +247,7 @@
 	ahead := map[queueKey]int{}
 	for _, waiting := range state.waiters {
 		if upstream := scheduler.candidate(state, waiting.job, now, true); upstream != nil {
-			ticket := &Ticket{Target: upstream.target, upstream: upstream, job: waiting.job, scheduler: scheduler, started: now}
+			ticket := &Ticket{Target: upstream.target, upstream: upstream, job: waiting.job, scheduler: scheduler, granted: now, started: now}
 			upstream.begin(ticket)
 			waiting.outcome <- outcome{ticket: ticket}
 			continue
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -122,6 +122,7 @@
 	// lastErrorAt is the time of the last error.
 	errorRate   float64
 	lastErrorAt time.Time
+	limit       rateLimit
 }
 
 func newUpstream(target Target, now time.Time, exclusive bool) *upstream {
--- a/internal/dispatch/permit/message.go
+++ b/internal/dispatch/permit/message.go
@@ -67,6 +67,10 @@
 	// Load is what the upstream reported: running and waiting requests, slots, and
 	// the service time in percent, as in admit.Load.
 	Load []int
+	// Answered is set if the upstream answered, and Limit is the rate limit that it named
+	// then, as in admit.Ticket.RecordLimit.
+	Answered bool
+	Limit    float64
 }
 
 // grantMessage is the reply with the number of a queued permit.
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -75,6 +75,10 @@
 	primary   state.Entry
 	number    uint64
 	startedAt time.Time
+	// answered is set once the upstream answered, and limit is the rate limit that it
+	// named then.
+	answered bool
+	limit    float64
 }
 
 // Client acquires permits for the requests of one entry host. It is safe for
@@ -485,6 +489,17 @@
 	}
 }
 
+// RecordLimit records, before Release, that the upstream answered and which rate limit
+// it named: the requests per second that it takes from all hosts together, or 0.
+func (permit *Permit) RecordLimit(perSecond float64) {
+	client, owner := permit.client, permit.Target.Owner
+	permit.answered, permit.limit = true, perSecond
+	if client.local.RecordLimit(permit.job.Service, owner, perSecond, permit.startedAt) {
+		client.log.WithField("upstream", owner.ID).WithField("service", permit.job.Service).WithField("perSecond", perSecond).
+			Info(logPrefix + "upstream changed its rate limit")
+	}
+}
+
 // Release returns the permit and records the request's result and the load that
 // the upstream reported, if any.
 func (permit *Permit) Release(result admit.Result, load *admit.Load) {
@@ -508,7 +523,9 @@
 // release reports the result to the primary. If the message is lost, the permit
 // expires after the request's deadline.
 func (permit *Permit) release(result admit.Result, load *admit.Load) {
-	permit.client.sendDone(permit.primary, doneMessage{Number: permit.number, Result: result, Load: encodeLoad(load)})
+	permit.client.sendDone(permit.primary, doneMessage{
+		Number: permit.number, Result: result, Load: encodeLoad(load), Answered: permit.answered, Limit: permit.limit,
+	})
 }
 
 // sendDone releases a permit at its primary.
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -213,6 +213,10 @@
 	case lease.ticket == nil:
 		lease.release()
 	default:
+		if message.Answered && lease.ticket.RecordLimit(message.Limit) {
+			primary.log.WithField("upstream", lease.ticket.Target.Owner.ID).WithField("service", lease.ticket.Target.Service).
+				WithField("perSecond", message.Limit).Info(logPrefix + "primary learned an upstream's rate limit")
+		}
 		lease.ticket.Release(message.Result, decodeLoad(message.Load))
 	}
 }
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -80,6 +80,9 @@
 	Misplaced bool
 	// Load is the load report of the upstream, nil if there is none.
 	Load *admit.Load
+	// RateLimit is the number of requests per second that the upstream takes from all
+	// hosts together, 0 if it names none.
+	RateLimit float64
 }
 
 // ForwardInfo holds the metadata that is sent to the upstream with a request.
@@ -376,6 +379,7 @@
 		return exchange.handleFailure(ctx, permit, failure)
 	}
 	responseinfo := relay.Protocol.ParseResponse(response.Status, response.Header)
+	permit.RecordLimit(responseinfo.RateLimit)
 	switch {
 	case responseinfo.Misplaced:
 		permit.Release(admit.ResultMisplaced, responseinfo.Load)
