Admit no more to an upstream than the rate limit that it names

Change: a token bucket at the upstream's primary, from which each send takes a token; the hosts after it in the order of primaries have small parts, all others and hosts' own schedulers nothing. Requests without a key go elsewhere, keyed ones wait their turn or are refused at once with a time to come back of their own. A host whose primary is late asks the next one.

Ruled out: parts for all hosts by themselves (bursts add up to one a host); a full bucket at a new primary; ending the limit by an answer that was on its way when it was named.

--- a/internal/dispatch/admit/job.go
+++ b/internal/dispatch/admit/job.go
@@ -22,6 +22,12 @@
 	ReasonQueueFull Reason = "queueFull"
 	// ReasonQuarantined means that upstreams ended while they ran the request.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonLimited means that the upstream names a rate limit, and the request's turn
+	// would come too late.
+	ReasonLimited Reason = "limited"
+	// ReasonNoPrimary means that the upstream names a rate limit, and no host that admits
+	// requests to it was reached.
+	ReasonNoPrimary Reason = "noPrimary"
 	// ReasonCallerLeft means that the caller canceled the request.
 	ReasonCallerLeft Reason = "callerLeft"
 )
--- a/internal/dispatch/admit/queue.go
+++ b/internal/dispatch/admit/queue.go
@@ -57,7 +57,8 @@
 		}
 	}
 	wait, _ := state.expectedWait(queuedjob.waiter.job, ahead)
-	return wait
+	forToken, _ := state.limitWait(queuedjob.waiter.job, ahead, scheduler.clock.Now())
+	return max(wait, forToken)
 }
 
 // Poll returns the ticket or the refusal without blocking, or neither if the
@@ -166,16 +167,21 @@
 // makes all answers late.
 func (service *service) checkDeadline(job Job, ahead int, now time.Time) *Refusal {
 	wait, work := service.expectedWait(job, ahead)
-	if wait == 0 {
+	forToken, perSecond := service.limitWait(job, ahead, now)
+	if wait == 0 && forToken == 0 {
 		return nil
 	}
 	limit, needed := job.Deadline, work*minWorkTenths/10
-	if job.Goal.Before(limit) && now.Sub(service.overloadedAt) < overloadWindow {
+	overloaded := now.Sub(service.overloadedAt) < overloadWindow || now.Sub(service.returns[service.queueKey(job)]) < overloadWindow
+	if job.Goal.Before(limit) && overloaded {
 		limit, needed = job.Goal, work*goalWorkTenths/10
 	}
 	left := limit.Sub(now)
-	if wait+needed <= left {
+	switch {
+	case max(wait, forToken)+needed <= left:
 		return nil
+	case forToken >= wait:
+		return service.refuseLimited(job, forToken, perSecond, now)
 	}
 	service.overloadedAt = now
 	return &Refusal{Reason: ReasonHopeless, RetryAfter: max(minRetryAfter, wait+work-left)}
@@ -186,9 +192,8 @@
 // upstream has room.
 func (service *service) expectedWait(job Job, ahead int) (wait, work time.Duration) {
 	window, slots, running := 0.0, 0.0, 0.0
-	owner := service.ownerOf(job)
 	for id, upstream := range service.upstreams {
-		if !job.Keyed && job.eligible(upstream.target) || job.Keyed && id == owner {
+		if service.mayServe(job, id, upstream) {
 			window += max(1, upstream.window)
 			slots += upstream.parallelism()
 			running += float64(upstream.running)
@@ -201,6 +206,15 @@
 	return time.Duration(float64(work) * (float64(ahead) + running - slots + 1) / slots), work
 }
 
+// mayServe reports whether the request may go to the upstream: to the owner of its key
+// or, without a key, to any that is eligible.
+func (service *service) mayServe(job Job, owner spans.Owner, upstream *upstream) bool {
+	if job.Keyed {
+		return owner == service.ownerOf(job)
+	}
+	return job.eligible(upstream.target)
+}
+
 // minWork returns the time that must be left before the deadline for a request to
 // be worth sending.
 func (scheduler *Scheduler) minWork(name string) time.Duration {
--- a/internal/dispatch/admit/scheduler.go
+++ b/internal/dispatch/admit/scheduler.go
@@ -54,6 +54,9 @@
 	waiters []*waiter
 	// retryTokens is the balance of the retry budget.
 	retryTokens float64
+	// returns is when the next caller that is refused because of a rate limit should come
+	// back, for each group of upstreams.
+	returns map[queueKey]time.Time
 	// overloadedAt is when a request was last refused because of a long queue.
 	overloadedAt time.Time
 	// changed is closed and replaced by each update of targets and key owners.
@@ -68,6 +71,10 @@
 	// so that concurrency windows need no adaptation.
 	exclusive bool
 	clock     clockwork.Clock
+	// LimitShare, if set, returns the part of the rate limit of an upstream that this
+	// scheduler admits, so that the parts of all schedulers keep within the users' bound.
+	// It must be set before the scheduler is used.
+	LimitShare func(target Target) float64
 
 	mutex    sync.Mutex
 	services map[string]*service
@@ -105,12 +112,14 @@
 		current, ok := state.upstreams[target.Owner]
 		if ok {
 			current.setTarget(target, now)
+			scheduler.updateLimitShare(current)
 		} else {
 			current = newUpstream(target, now, scheduler.exclusive)
 		}
 		present[target.Owner] = current
 	}
 	state.upstreams = present
+	maps.DeleteFunc(state.returns, func(_ queueKey, at time.Time) bool { return at.Before(now) })
 	close(state.changed)
 	state.changed = make(chan struct{})
 	scheduler.dispatch(state, now)
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -172,7 +172,7 @@
 // available reports whether the upstream may get a request now. It refills the
 // token bucket of a cold upstream; begin takes the token.
 func (upstream *upstream) available(now time.Time) bool {
-	if now.Before(upstream.retryAt) || float64(upstream.running) >= max(1, upstream.window) {
+	if now.Before(upstream.retryAt) || float64(upstream.running) >= max(1, upstream.window) || !upstream.limit.allows(now) {
 		return false
 	}
 	if !upstream.target.Cold {
@@ -185,6 +185,7 @@
 
 func (upstream *upstream) begin(ticket *Ticket) {
 	upstream.running++
+	upstream.limit.take(ticket.granted)
 	if upstream.target.Cold {
 		upstream.coldTokens--
 	}
--- a/internal/dispatch/permit/limit_test.go
+++ b/internal/dispatch/permit/limit_test.go
@@ -45,12 +45,11 @@
 	endsAt time.Time
 }
 
-// request sends a request through a host. It can't wait: its time suffices only for the
-// work itself.
+// request sends a request through a host. It has no time to wait.
 func (limitedfleet *limitedFleet) request(host int) {
 	now := limitedfleet.clock.Now()
 	job := limitedfleet.newJob()
-	job.Goal, job.Deadline = now.Add(answerTime*6/10), now.Add(answerTime*6/10)
+	job.Goal, job.Deadline = now.Add(limitStep/5), now.Add(limitStep/5)
 	ctx, cancel := context.WithTimeout(limitedfleet.t.Context(), 10*time.Second)
 	defer cancel()
 	permit, _ := limitedfleet.clients[host].Acquire(ctx, job)
@@ -148,10 +147,11 @@
 		{"small limit", 0.5, nil},
 		{"primary changes each second", 2, func(fleet *limitedFleet, number int) {
 			if number%20 == 0 {
-				for _, client := range fleet.clients {
-					entries := append(fleet.entries[:0:0], fleet.entries...)
-					entries[number/20%len(entries)].Draining = true
+				entries := append(fleet.entries[:0:0], fleet.entries...)
+				entries[number/20%len(entries)].Draining = true
+				for position, client := range fleet.clients {
 					client.Update(entries)
+					fleet.exclusive[position].Update(serviceName, []admit.Target{fleet.target}, fleet.table)
 				}
 			}
 		}},
@@ -179,3 +179,33 @@
 		})
 	}
 }
+
+// TestLatePrimaryOfLimitedUpstream guards against hosts that admit requests to a limited
+// upstream by themselves when its primary is late: their sends add up to more than the
+// limit. They ask the next host instead.
+func TestLatePrimaryOfLimitedUpstream(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	requester := (fleet.primaryOf(t) + 1) % 3
+	network, client := fleet.network, fleet.clients[requester]
+	network.blocked, network.askReceived = make(chan struct{}), make(chan struct{})
+	client.local.RecordLimit(serviceName, fleet.target.Owner, 1, fleet.clock.Now())
+	refusals := make(chan *admit.Refusal, 1)
+	go func() {
+		_, refusal := client.Acquire(t.Context(), fleet.newJob())
+		refusals <- refusal
+	}()
+	for asked := 0; ; asked++ {
+		select {
+		case <-network.askReceived:
+			fleet.clock.Advance(requestTimeout)
+			continue
+		case refusal := <-refusals:
+			is.True(asked > 0)
+			is.True(refusal != nil)
+			is.Equal(refusal.Reason, admit.ReasonLimited)
+		}
+		break
+	}
+	close(network.blocked)
+}
--- a/internal/dispatch/permit/message.go
+++ b/internal/dispatch/permit/message.go
@@ -39,6 +39,10 @@
 	// because the clocks of hosts differ.
 	Left time.Duration
 	Goal time.Duration
+	// Limit is the rate limit of the owner that the host knows, in requests per second, and
+	// LimitAge how long ago the owner named it.
+	Limit    float64
+	LimitAge time.Duration
 }
 
 func (askmessage askMessage) owner() spans.Owner {
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -55,6 +55,10 @@
 	releaseTimeout = time.Second
 )
 
+// limitShares are the parts of an upstream's rate limit that its primary and the hosts
+// after it in order may admit. The other hosts may admit nothing.
+var limitShares = [...]float64{1, 0.25, 0.125}
+
 // Caller sends requests to other hosts.
 type Caller interface {
 	Call(ctx context.Context, address netip.AddrPort, request links.Payload) (links.Payload, error)
@@ -121,8 +125,8 @@
 
 // primary returns the host that grants the permits for a subject, which is an
 // upstream or a service. It is chosen by rendezvous hashing among the hosts of the
-// data centre or, if none is usable there, among all hosts.
-func (client *Client) primary(subject, dataCentre string) (state.Entry, bool) {
+// data centre or, if none is usable there, among all hosts other than the exceptions.
+func (client *Client) primary(subject, dataCentre string, except ...string) (state.Entry, bool) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	now := client.clock.Now()
@@ -130,14 +134,14 @@
 	var bestScore uint64
 	found, foundLocal := false, false
 	for _, entry := range client.entries {
-		if entry.Draining || !entry.Peer.IsValid() || now.Before(client.suspectUntil[entry.Name]) {
+		if !eligible(entry) || now.Before(client.suspectUntil[entry.Name]) || slices.Contains(except, entry.Name) {
 			continue
 		}
 		local := entry.DataCentre == dataCentre
 		if foundLocal && !local {
 			continue
 		}
-		score := xxhash.Sum64String(subject + "/" + entry.Name)
+		score := primaryScore(subject, entry)
 		if !found || local && !foundLocal || score > bestScore {
 			best, bestScore, found, foundLocal = entry, score, true, local
 		}
@@ -145,6 +149,43 @@
 	return best, found
 }
 
+// eligible reports whether an entry host may be a primary.
+func eligible(entry state.Entry) bool { return !entry.Draining && entry.Peer.IsValid() }
+
+// primaryScore is the weight of an entry host in the choice of a subject's primary.
+func primaryScore(subject string, entry state.Entry) uint64 {
+	return xxhash.Sum64String(subject + "/" + entry.Name)
+}
+
+// LimitShare returns the part of an upstream's rate limit that this host may admit, by
+// its place in the order in which hosts are asked for permits. Hosts that do not reach the
+// primary ask the next ones, and don't agree on them, so that these have small parts: all
+// parts together are one and a half limits.
+func (client *Client) LimitShare(target admit.Target) float64 {
+	subject := target.Service
+	if target.Keyed {
+		subject = target.Owner.ID
+	}
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	position := slices.IndexFunc(client.entries, func(entry state.Entry) bool { return entry.Name == client.self })
+	if position < 0 || !eligible(client.entries[position]) {
+		return 0
+	}
+	own, before := client.entries[position], 0
+	for _, entry := range client.entries {
+		local, ownLocal := entry.DataCentre == target.DataCentre, own.DataCentre == target.DataCentre
+		first := primaryScore(subject, entry) > primaryScore(subject, own)
+		if eligible(entry) && (local && !ownLocal || local == ownLocal && first) {
+			before++
+		}
+	}
+	if before < len(limitShares) {
+		return limitShares[before]
+	}
+	return 0
+}
+
 // suspect stops a primary from being asked for suspectDuration and closes its
 // link. A late reply counts only after maxLateReplies in a row.
 func (client *Client) suspect(entry state.Entry, cause error) {
@@ -187,12 +228,13 @@
 	if !job.Keyed {
 		return client.acquireUnkeyed(ctx, job)
 	}
+	var late []string
 	for {
 		target, changed, refusal := client.local.Owner(ctx, job)
 		if refusal != nil {
 			return nil, refusal
 		}
-		entry, found := client.primary(target.Owner.ID, target.DataCentre)
+		entry, found := client.primary(target.Owner.ID, target.DataCentre, late...)
 		if !found {
 			return client.acquireLocal(ctx, client.local, job, "host")
 		}
@@ -201,6 +243,9 @@
 		permit, refusal, err := client.requestPermit(ctx, entry, toOwner, job.Deadline.Sub(client.clock.Now()), changed)
 		failed := client.handleFailure(ctx, entry, err)
 		switch {
+		case failed && errors.Is(err, errTimeout) && client.isLimited(job.Service, target.Owner):
+			late = append(late, entry.Name)
+			continue
 		case failed && errors.Is(err, errTimeout):
 			return client.acquireLocal(ctx, client.local, job, "host")
 		case failed, errors.Is(err, errOwnerChanged):
@@ -213,6 +258,13 @@
 	}
 }
 
+// isLimited reports whether an upstream names a rate limit. The host's own scheduler
+// admits no requests to it.
+func (client *Client) isLimited(service string, owner spans.Owner) bool {
+	perSecond, _ := client.local.Limit(service, owner)
+	return perSecond > 0
+}
+
 // handleFailure suspects a primary that did not answer, and reports whether the
 // caller should ask elsewhere. A canceled request or a changed owner is not the
 // primary's failure.
@@ -293,7 +345,9 @@
 // returns neither a permit nor a refusal if the primary is too busy.
 func (client *Client) requestPermit(ctx context.Context, entry state.Entry, job admit.Job, maxWait time.Duration, changed <-chan struct{}) (*Permit, *admit.Refusal, error) {
 	now := client.clock.Now()
+	limit, namedAt := client.local.Limit(job.Service, job.Owner)
 	request, err := payload(kindAsk, askMessage{
+		Limit: limit, LimitAge: now.Sub(namedAt).Round(time.Millisecond),
 		Service: job.Service, ID: job.Owner.ID, Born: job.Owner.Born, Place: job.DataCentre, Priority: job.Priority, Bears: maxWait,
 		Left: job.Deadline.Sub(now).Round(time.Millisecond), Goal: job.Goal.Sub(now).Round(time.Millisecond),
 	})
--- a/internal/dispatch/permit/permit_test.go
+++ b/internal/dispatch/permit/permit_test.go
@@ -73,8 +73,11 @@
 	network    *network
 	clients    []*Client
 	schedulers []*admit.Scheduler
-	target     admit.Target
-	entries    []state.Entry
+	// exclusive are the schedulers of the hosts as primaries.
+	exclusive []*admit.Scheduler
+	table     spans.Table
+	target    admit.Target
+	entries   []state.Entry
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -102,8 +105,11 @@
 		primary := NewPrimary(exclusive, clock, logger)
 		fleet.network.hosts[entry.Peer] = primary
 		fleet.schedulers = append(fleet.schedulers, local)
-		fleet.clients = append(fleet.clients, NewClient(entry, local, primary, fleet.network, clock, logger))
+		client := NewClient(entry, local, primary, fleet.network, clock, logger)
+		exclusive.LimitShare = client.LimitShare
+		fleet.clients, fleet.exclusive = append(fleet.clients, client), append(fleet.exclusive, exclusive)
 	}
+	fleet.table = table
 	for _, client := range fleet.clients {
 		client.Update(fleet.entries)
 	}
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -95,6 +95,9 @@
 func (primary *Primary) handleAsk(message askMessage) (links.Payload, error) {
 	now := primary.clock.Now()
 	deadline := now.Add(message.Left)
+	if message.Limit > 0 {
+		primary.scheduler.AdoptLimit(message.Service, message.owner(), message.Limit, now.Add(-message.LimitAge))
+	}
 	queuedjob, refusal := primary.scheduler.Enqueue(admit.Job{
 		Service: message.Service, Keyed: message.ID != "", Owner: message.owner(), DataCentre: message.Place, Priority: message.Priority,
 		Goal: now.Add(message.Goal), Deadline: deadline,
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -169,6 +169,7 @@
 	entry.primary = permit.NewPrimary(entry.primaryScheduler, entry.options.Clock, entry.options.Log)
 	self := state.Entry{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre}
 	entry.permits = permit.NewClient(self, entry.scheduler, entry.primary, entry.links, entry.options.Clock, entry.options.Log)
+	entry.primaryScheduler.LimitShare = entry.permits.LimitShare
 	noDatagram := func([]byte) []byte { return nil }
 	entry.server, err = links.Listen(settings.Peer.Address, secret, entry.primary.Serve, noDatagram, entry.options.Log)
 	if err != nil {
@@ -378,6 +379,7 @@
 func (entry *Entry) applyCatalog() {
 	catalog := entry.follower.Catalog()
 	now := entry.options.Clock.Now()
+	entry.permits.Update(slices.Collect(maps.Values(catalog.Entries)))
 	targets := map[string][]admit.Target{}
 	leaving := map[string]time.Time{}
 	present := map[netip.AddrPort]bool{}
@@ -410,7 +412,6 @@
 		}
 		entry.primaryScheduler.Update(name, targets[name], catalog.Spans[name])
 	}
-	entry.permits.Update(slices.Collect(maps.Values(catalog.Entries)))
 	entry.crashes.Update(catalog.Instances)
 	entry.leavingSince = leaving
 	for address := range entry.knownAddresses {
