--- a/internal/control/steer/health.go
+++ b/internal/control/steer/health.go
@@ -132,6 +132,17 @@
 	return now.Before(healthtable.byID[upstream].avoidUntil)
 }
 
+// limited returns the upstreams that name a rate limit.
+func (healthtable *healthTable) limited(instances []state.Instance) map[spans.Owner]bool {
+	limited := map[spans.Owner]bool{}
+	for _, instance := range instances {
+		if healthtable.byID[instance.ID].limit > 0 {
+			limited[instance.Owner()] = true
+		}
+	}
+	return limited
+}
+
 // weights returns the relative capacity of each upstream by its slots, its service time
 // and its rate limit, 1 on average. It is empty without statistics.
 func (healthtable *healthTable) weights(instances []state.Instance) map[spans.Owner]float64 {
--- a/internal/control/steer/place.go
+++ b/internal/control/steer/place.go
@@ -115,6 +115,7 @@
 		}
 	}
 	placement.weights = coordinator.health.weights(instances)
+	placement.limited = coordinator.health.limited(instances)
 	for owner, expired := range placement.expired {
 		if expired {
 			continue
@@ -154,6 +155,8 @@
 	ownedLoad map[spans.Owner]float64
 	// weights are the relative capacities of candidates, 1 on average.
 	weights map[spans.Owner]float64
+	// limited is set for candidates that name a rate limit.
+	limited map[spans.Owner]bool
 	// untilNextHeartbeat is the time until each candidate's next heartbeat.
 	untilNextHeartbeat map[spans.Owner]time.Duration
 	// released are, by first key of the span, the releases of keys that are not moving.
@@ -310,8 +313,8 @@
 	maxPieces = 8
 	// overloadRatio is the ratio of load to target from which keys are moved away.
 	overloadRatio = 1.35
-	// minMoveFraction is the fraction of the target load, or of its own if that is less,
-	// that a move must take off an upstream to be worth its cost.
+	// minMoveFraction is the fraction of the target load that a move must take off
+	// an upstream to be worth its cost, for limited upstreams of their own target.
 	minMoveFraction = 0.15
 	// releaseDelay is how long after its heartbeat an upstream releases keys: it
 	// sends another heartbeat within 100 ms once their requests have ended.
@@ -378,7 +381,10 @@
 		recipient := placement.selectRecipient(overloaded, target)
 		excess := min(placement.ownedLoad[overloaded]-target*placement.weight(overloaded),
 			target*placement.weight(recipient)-placement.ownedLoad[recipient])
-		least := target * minMoveFraction * min(1, placement.weight(overloaded))
+		least := target * minMoveFraction
+		if placement.limited[overloaded] {
+			least *= min(1, placement.weight(overloaded))
+		}
 		if excess < least {
 			continue
 		}
--- a/internal/control/steer/place_test.go
+++ b/internal/control/steer/place_test.go
@@ -168,7 +168,7 @@
 				}
 				healthtable.add(now, candidate.ID, requeststats)
 			}
-			service.placement.weights = healthtable.weights(instances)
+			service.placement.weights, service.placement.limited = healthtable.weights(instances), healthtable.limited(instances)
 			for range int(5 * time.Second / balanceInterval) {
 				changes, err := service.placement.balance()
 				is.NoErr(err)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -352,6 +352,9 @@
 // attempt sends the request to one upstream and reports whether to retry it.
 func (exchange *exchange) attempt(ctx context.Context) bool {
 	relay := exchange.relay
+	if exchange.refuseQuarantined() {
+		return false
+	}
 	service, _ := exchange.config.View.Service(exchange.service)
 	job := admit.Job{
 		Service: exchange.service, Keyed: service.Keyed, Key: exchange.caller.ShardKey, Priority: exchange.priority,
@@ -360,9 +363,6 @@
 	if service.Keyed && exchange.sends == 0 && exchange.caller.HasShardKey {
 		relay.OnKeyRequest(exchange.service, exchange.caller.ShardKey)
 	}
-	if exchange.refuseQuarantined() {
-		return false
-	}
 	permit, refused := relay.Permits.Acquire(ctx, job)
 	if refused != nil {
 		exchange.respondRefusal(refused)
