Log what a primary makes of failed requests, and the retry budget

The logs of the hosts that reached no upstream could not tell whether their failures back off upstreams for all hosts, nor whether the retry budget was empty when it refused. Of each scrape of the metrics the first 4 KB were kept, which held histograms only.

A permit's release now names the reporting host, and the primary logs the backoff that a failure starts. The relay logs the balance of the retry budget with each retry and each refusal of one. Counters are written before histograms. No decision changes.

--- a/internal/base/stats/stats.go
+++ b/internal/base/stats/stats.go
@@ -14,12 +14,22 @@
 // Set holds one host's metrics. The zero value is ready to use.
 type Set struct {
 	once sync.Once
-	set  *metrics.Set
+	// counters holds the counters and gauges, histograms all else.
+	counters, histograms *metrics.Set
+}
+
+func (set *Set) create() {
+	set.once.Do(func() { set.counters, set.histograms = metrics.NewSet(), metrics.NewSet() })
 }
 
 func (set *Set) metrics() *metrics.Set {
-	set.once.Do(func() { set.set = metrics.NewSet() })
-	return set.set
+	set.create()
+	return set.counters
+}
+
+func (set *Set) histogram(name string) *metrics.Histogram {
+	set.create()
+	return set.histograms.GetOrCreateHistogram(name)
 }
 
 // Refused counts a refusal returned to a caller, by its reason and by whether
@@ -37,7 +47,7 @@
 func (set *Set) Answered(service, workspace string, took time.Duration) {
 	labels := fmt.Sprintf(`{service=%q,workspace=%q}`, service, workspace)
 	set.metrics().GetOrCreateCounter("damaskcrank_answers_total" + labels).Inc()
-	set.metrics().GetOrCreateHistogram("damaskcrank_answer_seconds" + labels).Update(took.Seconds())
+	set.histogram("damaskcrank_answer_seconds" + labels).Update(took.Seconds())
 }
 
 // Moved counts changes of ownership. The kind is "slot" or "shard".
@@ -49,7 +59,7 @@
 func (set *Set) Policy(service, policy, outcome string, took time.Duration) {
 	labels := fmt.Sprintf(`{service=%q,policy=%q,outcome=%q}`, service, policy, outcome)
 	set.metrics().GetOrCreateCounter("damaskcrank_policy_requests_total" + labels).Inc()
-	set.metrics().GetOrCreateHistogram("damaskcrank_policy_seconds" + labels).Update(took.Seconds())
+	set.histogram("damaskcrank_policy_seconds" + labels).Update(took.Seconds())
 }
 
 // Event counts an event, by name and reason.
@@ -67,8 +77,11 @@
 	set.metrics().GetOrCreateGauge("damaskcrank_"+name, read)
 }
 
-// Write writes all metrics and those of the process in the Prometheus text format.
+// Write writes all metrics and those of the process in the Prometheus text format. The
+// counters come first, for collectors that keep the beginning of a long response.
 func (set *Set) Write(writer io.Writer) {
-	set.metrics().WritePrometheus(writer)
+	set.create()
+	set.counters.WritePrometheus(writer)
+	set.histograms.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
 }
--- a/internal/dispatch/admit/pattern_test.go
+++ b/internal/dispatch/admit/pattern_test.go
@@ -443,7 +443,10 @@
 	retries := 0
 	for range 1000 {
 		scheduler.AddRetryBudget(serviceName)
-		for scheduler.TakeRetry(serviceName) {
+		for {
+			if _, ok := scheduler.TakeRetry(serviceName); !ok {
+				break
+			}
 			retries++
 		}
 	}
--- a/internal/dispatch/admit/report.go
+++ b/internal/dispatch/admit/report.go
@@ -148,15 +148,23 @@
 	state.retryTokens = min(state.retryTokens+retryRatio, retryBurst)
 }
 
-// TakeRetry takes one retry from the service's retry budget, or returns false if
-// the budget is used up.
-func (scheduler *Scheduler) TakeRetry(name string) bool {
+// TakeRetry takes one retry from the service's retry budget and reports whether there was
+// one, and how many are left.
+func (scheduler *Scheduler) TakeRetry(name string) (left float64, ok bool) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	state := scheduler.service(name)
 	if state.retryTokens < 1 {
-		return false
+		return state.retryTokens, false
 	}
 	state.retryTokens--
-	return true
+	return state.retryTokens, true
+}
+
+// Backoff returns how long the ticket's upstream gets no requests after its latest
+// failure, 0 if it has answered since.
+func (ticket *Ticket) Backoff() time.Duration {
+	ticket.scheduler.mutex.Lock()
+	defer ticket.scheduler.mutex.Unlock()
+	return ticket.upstream.backoff
 }
--- a/internal/dispatch/permit/message.go
+++ b/internal/dispatch/permit/message.go
@@ -75,6 +75,8 @@
 	// then, as in admit.Ticket.RecordLimit.
 	Answered bool
 	Limit    float64
+	// Reporter names the host that sent the request, for the log.
+	Reporter string
 }
 
 // grantMessage is the reply with the number of a queued permit.
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -579,6 +579,7 @@
 func (permit *Permit) release(result admit.Result, load *admit.Load) {
 	permit.client.sendDone(permit.primary, doneMessage{
 		Number: permit.number, Result: result, Load: encodeLoad(load), Answered: permit.answered, Limit: permit.limit,
+		Reporter: permit.client.self,
 	})
 }
 
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -221,5 +221,10 @@
 				WithField("perSecond", message.Limit).Info(logPrefix + "primary learned an upstream's rate limit")
 		}
 		lease.ticket.Release(message.Result, decodeLoad(message.Load))
+		if message.Result == admit.ResultFailed {
+			primary.log.WithField("upstream", lease.ticket.Target.Owner.ID).WithField("service", lease.ticket.Target.Service).
+				WithField("reporter", message.Reporter).WithField("backoff", lease.ticket.Backoff().String()).
+				Info(logPrefix + "upstream backs off after a failed request")
+		}
 	}
 }
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -500,13 +500,15 @@
 // the caller otherwise.
 func (exchange *exchange) retry(reason string, permit *permit.Permit) bool {
 	relay := exchange.relay
-	if !relay.Scheduler.TakeRetry(exchange.service) {
+	left, ok := relay.Scheduler.TakeRetry(exchange.service)
+	if !ok {
 		relay.Stats.Retried("overBudget")
+		exchange.logEvent("retry budget used up", permit, log.Fields{"reason": reason, "retriesLeft": left})
 		exchange.respondRefusal(&admit.Refusal{Reason: admit.Reason(reason + "OverBudget"), RetryAfter: defaultRetryAfter})
 		return false
 	}
 	relay.Stats.Retried(reason)
-	exchange.logEvent("retrying request", permit, log.Fields{"reason": reason})
+	exchange.logEvent("retrying request", permit, log.Fields{"reason": reason, "retriesLeft": left})
 	return true
 }
 
