--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -141,7 +141,9 @@
 	// LingerTime is how long a connection is watched for OnLateLoss after the context
 	// ended; 0 means defaultLingerTime.
 	LingerTime time.Duration
-	Clock      clockwork.Clock
+	// Dial, if set, opens the connections in place of a net.Dialer.
+	Dial  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Clock clockwork.Clock
 
 	bodies bodies
 	// lingering are the connections that are watched for OnLateLoss.
@@ -250,10 +252,21 @@
 			pool.reportUnexpected(address)
 		}
 	}
+	return pool.dial(ctx, address)
+}
+
+// dial opens a connection.
+func (pool *Pool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	opened, err := dialer.DialContext(ctx, "tcp", address.String())
+	dial := pool.Dial
+	if dial == nil {
+		var dialer net.Dialer
+		dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address.String())
+		}
+	}
+	opened, err := dial(ctx, address)
 	if err != nil {
 		return nil, Error.New("dial: %w", err)
 	}
