Send requests on quiet connections only once their upstream acknowledges them

Cause: a kept connection counts as one that leads somewhere until a request fails on it. Ruled out: keep-alive probes (3 s late at 40 bytes a second and connection, between data centres too), TCP_USER_TIMEOUT (ends connections under requests that may have run, and also decides when keep-alive probes give up), a new connection for each request (1 ms of a slot each).

On a connection on which nothing was received for 100 ms, all of a request but its end is sent first, and the rest once the kernel at the other end has acknowledged it (TIOCOUTQ). An upstream can't run a request that is not whole, so a connection that is reset is replaced, and a path that loses all packets is told after 250 ms, both with nothing run. A request that stays unacknowledged later is given up after 600 ms. Connections are dialed for 300 ms at most: a lost SYN is repeated only after a second.

--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -15,19 +15,35 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+	"golang.org/x/sys/unix"
 )
 
 // Error is the class of all errors of this package.
 var Error = errs.Class("pool")
 
 const (
-	// dialTimeout bounds the time to open a connection.
-	dialTimeout = time.Second
+	// dialTimeout bounds the time to open a connection. The kernel repeats a lost SYN only
+	// after a second.
+	dialTimeout = 300 * time.Millisecond
+	// quietTime is how long nothing was received on a connection that may lead nowhere.
+	quietTime = 100 * time.Millisecond
+	// acknowledgeTimeout bounds the time in which the upstream's kernel acknowledges the
+	// beginning of a request. It covers one retransmission.
+	acknowledgeTimeout = 250 * time.Millisecond
+	// stallTimeout is how long a whole request may stay unacknowledged. It covers two
+	// retransmissions.
+	stallTimeout = 600 * time.Millisecond
+	// minAcknowledgePoll and maxAcknowledgePoll bound the time between two looks for it.
+	minAcknowledgePoll = 500 * time.Microsecond
+	maxAcknowledgePoll = 20 * time.Millisecond
+	// maxBeginningBytes bounds the beginning of a request, which fits into a send buffer.
+	maxBeginningBytes = 8 << 10
 	// defaultIdleTime is how long an idle connection may be reused if the upstream
 	// sends no Keep-Alive timeout.
 	defaultIdleTime = 4 * time.Second
@@ -85,6 +101,9 @@
 	// FailureGarbled means that the response was malformed, too long, or belonged
 	// to another request.
 	FailureGarbled Failure = "garbled"
+	// FailureUnacknowledged means that the upstream's kernel acknowledged nothing more for
+	// some time. The request may have run.
+	FailureUnacknowledged Failure = "unacknowledged"
 	// FailureTimeout means that the context ended after sending had begun.
 	FailureTimeout Failure = "timeout"
 )
@@ -175,24 +194,30 @@
 	// reusableUntil is when the connection is too old to be reused, as the upstream
 	// may be about to close it.
 	reusableUntil time.Time
+	// stalled is set once reads are interrupted because nothing more is acknowledged.
+	stalled atomic.Bool
+	// heardAt is when the connection became idle, right after bytes were received on it.
+	heardAt time.Time
 }
 
 // Send sends the request once and returns the whole response. When the context
 // ends, by its deadline or by cancellation, Send fails and closes the connection,
 // which signals the upstream to stop, or closes it shortly after if OnLateLoss is set.
 func (pool *Pool) Send(ctx context.Context, address netip.AddrPort, request *Request) (*Response, *SendError) {
-	connection, err := pool.connect(ctx, address)
+	connection, unsent, err := pool.begin(ctx, address, request.encode())
 	if err != nil {
-		return nil, dialError(err)
+		return nil, unsentError(err)
 	}
 	stop := connection.interruptAfter(ctx)
 	defer stop()
-	if _, err := connection.Write(request.encode()); err != nil {
+	if _, err := connection.Write(unsent); err != nil {
 		_ = connection.Close()
 		return nil, &SendError{Failure: failureOf(ctx), Cause: Error.New("send request: %w", err)}
 	}
 	connection.received = 0
+	endWatch := connection.watchStall()
 	response, reusable, failure := connection.receive(ctx, pool, request)
+	endWatch()
 	if failure == nil && connection.reader.Buffered() > 0 {
 		pool.reportUnexpected(address)
 	}
@@ -200,7 +225,11 @@
 		pool.lingering.Go(func() { connection.awaitLoss(cmp.Or(pool.LingerTime, defaultLingerTime), request.OnLateLoss) })
 		return nil, failure
 	}
-	if failure != nil || !reusable || !stop() {
+	if failure != nil && failure.Failure == FailureUnacknowledged {
+		connection.reset()
+		return nil, failure
+	}
+	if failure != nil || !reusable || !stop() || connection.stalled.Load() {
 		_ = connection.Close()
 		return response, failure
 	}
@@ -228,7 +257,7 @@
 	return FailureLost
 }
 
-func dialError(err error) *SendError {
+func unsentError(err error) *SendError {
 	failure := FailureNotSent
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		failure = FailureRefused
@@ -236,23 +265,148 @@
 	return &SendError{Failure: failure, Cause: Error.New("connect to upstream: %w", err)}
 }
 
-// connect returns an idle connection that is still usable, or opens a new one.
-func (pool *Pool) connect(ctx context.Context, address netip.AddrPort) (*conn, error) {
+var (
+	errUnacknowledged = Error.New("the upstream acknowledged nothing within %s", acknowledgeTimeout)
+	errClosed         = Error.New("the upstream closed the connection")
+)
+
+// begin returns a connection on which the upstream can be reached, and the part of the
+// request that is left to send. On a connection that was quiet it has sent a beginning that
+// the upstream's kernel acknowledged, but never the whole request: with an error, the
+// upstream can't have run it.
+func (pool *Pool) begin(ctx context.Context, address netip.AddrPort, encoded []byte) (*conn, []byte, error) {
 	for {
-		connection := pool.takeIdle(address)
+		connection := pool.takeUsable(address)
 		if connection == nil {
 			break
 		}
+		if pool.Clock.Now().Sub(connection.heardAt) < quietTime {
+			return connection, encoded, nil
+		}
+		length := min(len(encoded)-1, maxBeginningBytes)
+		err := connection.sendBeginning(ctx, encoded[:length])
+		if err == nil {
+			return connection, encoded[length:], nil
+		}
+		connection.reset()
+		if ctx.Err() != nil || errors.Is(err, errUnacknowledged) {
+			return nil, nil, err
+		}
+	}
+	connection, err := pool.dial(ctx, address)
+	return connection, encoded, err
+}
+
+// sendBeginning sends a part of a request and waits until it is acknowledged.
+func (conn *conn) sendBeginning(ctx context.Context, beginning []byte) error {
+	if _, err := conn.Write(beginning); err != nil {
+		return Error.New("send the beginning of a request: %w", err)
+	}
+	sent := time.Now()
+	for pause := minAcknowledgePoll; ; pause = min(2*pause, maxAcknowledgePoll) {
+		count, err := conn.unacknowledged()
+		if err != nil {
+			return err
+		}
+		switch state := conn.state(); {
+		case state == stateClosed:
+			return errClosed
+		case count == 0, state == stateUnexpected: // the upstream may answer early
+			return nil
+		case time.Since(sent) >= acknowledgeTimeout:
+			return errUnacknowledged
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return Error.New("await the acknowledgement of a request's beginning: %w", ctx.Err())
+		}
+	}
+}
+
+// unacknowledged returns the number of bytes sent that the upstream's kernel has not
+// acknowledged.
+func (conn *conn) unacknowledged() (int, error) {
+	if counter, ok := conn.Conn.(interface{ Unacknowledged() (int, error) }); ok {
+		return counter.Unacknowledged() //nolint:wrapcheck // only stand-ins implement it
+	}
+	raw, ok := conn.Conn.(syscall.Conn)
+	if !ok {
+		return 0, Error.New("the connection has no socket")
+	}
+	rawConn, err := raw.SyscallConn()
+	if err != nil {
+		return 0, Error.New("get the socket: %w", err)
+	}
+	count, countErr := 0, error(nil)
+	if err := rawConn.Control(func(descriptor uintptr) {
+		count, countErr = unix.IoctlGetInt(int(descriptor), unix.TIOCOUTQ)
+	}); err != nil {
+		return 0, Error.New("use the socket: %w", err)
+	}
+	if countErr != nil {
+		return 0, Error.New("read the length of the send queue: %w", countErr)
+	}
+	return count, nil
+}
+
+// watchStall interrupts reads if the upstream's kernel acknowledges nothing more of what
+// was sent for stallTimeout, until the returned function is called.
+func (conn *conn) watchStall() (end func()) {
+	var before atomic.Int64
+	look := time.AfterFunc(stallTimeout/2, func() {
+		if count, err := conn.unacknowledged(); err == nil {
+			before.Store(int64(count))
+		}
+	})
+	check := time.AfterFunc(stallTimeout, func() {
+		count, err := conn.unacknowledged()
+		if err == nil && count > 0 && int64(count) >= before.Load() {
+			conn.stalled.Store(true)
+			_ = conn.SetDeadline(time.Unix(1, 0))
+		}
+	})
+	return func() {
+		look.Stop()
+		check.Stop()
+	}
+}
+
+// reset closes the connection so that the kernel drops the bytes that it still holds.
+func (conn *conn) reset() {
+	if socket, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = conn.Close()
+}
+
+// Probe opens a connection to an upstream and keeps it for a later request.
+func (pool *Pool) Probe(ctx context.Context, address netip.AddrPort) error {
+	connection, err := pool.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	pool.put(address, connection, nil)
+	return nil
+}
+
+// takeUsable removes and returns an idle connection that may be used, or nil if there is
+// none. It closes those that may not.
+func (pool *Pool) takeUsable(address netip.AddrPort) *conn {
+	for {
+		connection := pool.takeIdle(address)
+		if connection == nil {
+			return nil
+		}
 		state := connection.state()
 		if pool.Clock.Now().Before(connection.reusableUntil) && state == stateUsable {
-			return connection, nil
+			return connection
 		}
 		_ = connection.Close()
 		if state == stateUnexpected {
 			pool.reportUnexpected(address)
 		}
 	}
-	return pool.dial(ctx, address)
 }
 
 // dial opens a connection.
@@ -317,7 +471,7 @@
 // put returns a connection to the pool, or closes it if the pool is closed or full.
 func (pool *Pool) put(address netip.AddrPort, connection *conn, header http.Header) {
 	now := pool.Clock.Now()
-	connection.reusableUntil = now.Add(idleTime(header))
+	connection.reusableUntil, connection.heardAt = now.Add(idleTime(header)), now
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if pool.closed || len(pool.idle[address]) >= maxIdle {
@@ -465,6 +619,8 @@
 		if conn.received > 0 {
 			failure.Reason = ReasonUnfinished
 		}
+	case conn.stalled.Load():
+		failure.Failure = FailureUnacknowledged
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.As(err, &netErr):
 		failure.Failure = FailureLost
 	default:
