Send requests through another host where the own path is broken

Cause, two halves of one: an entry host had no way but its own, and what it observed of its path was taken for a property of the upstream.

A table of paths (package paths) keeps what this host knows of its own ways. Where one is broken, or the host reached none of three upstreams in a row, the request goes through another host (package detour): first the one that granted the permit, then others in the upstream's data centre. One hop, three hosts at most, and only requests that surely were not sent. A failure counts against an upstream only if another host does not reach it either. Attempts that reached no upstream take nothing from the retry budget; there are three of them at most. A host that reaches neither upstreams nor others that do is not ready.

--- a/internal/dispatch/admit/job.go
+++ b/internal/dispatch/admit/job.go
@@ -87,6 +87,9 @@
 	ResultMisplaced Result = "misplaced"
 	// ResultFailed means that the upstream gave no usable answer.
 	ResultFailed Result = "failed"
+	// ResultUnreached means that the host did not reach the upstream, while other hosts
+	// may.
+	ResultUnreached Result = "unreached"
 	// ResultLeft means that the caller canceled the request.
 	ResultLeft Result = "left"
 )
--- a/internal/dispatch/admit/report.go
+++ b/internal/dispatch/admit/report.go
@@ -35,6 +35,10 @@
 		if !scheduler.exclusive {
 			upstream.failures++
 		}
+	case ResultUnreached:
+		if !scheduler.exclusive { // other hosts get their tickets elsewhere
+			upstream.recordFailure(now)
+		}
 	case ResultMisplaced:
 		state.recordMisplaced(ticket, now)
 	case ResultLeft:
--- /dev/null
+++ b/internal/dispatch/detour/detour.go
@@ -0,0 +1,294 @@
+// Package detour sends requests to upstreams, on this host's own path or, where that is
+// broken, through another entry host that reaches the upstream. A request takes one hop at
+// most, and only if it surely did not reach the upstream before. The package also sends
+// for other hosts.
+package detour
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
+	"damaskcrank.example/damaskcrank/internal/dispatch/paths"
+	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("detour")
+
+const (
+	// logPrefix starts each line that this package logs.
+	logPrefix = "detour: "
+	// maxHelpers bounds the hosts that are asked to send one request.
+	maxHelpers = 3
+	// openTimeout bounds the time to open a link to another host.
+	openTimeout = 150 * time.Millisecond
+	// helperBackoff is how long a host is not asked again that does not reach an upstream.
+	helperBackoff = time.Second
+	// blockedTime is how long a host that found no other one to send for it counts as
+	// blocked.
+	blockedTime = 2 * time.Second
+	// trialTimeout bounds the trial of a path.
+	trialTimeout = time.Second
+)
+
+// Request is a request to an upstream.
+type Request struct {
+	// ID and Content identify the request and its content in logs.
+	ID      string
+	Content string
+	// Deadline is when the response is due.
+	Deadline time.Time
+	// Prepare returns the request as it is sent now: its header states the time left.
+	Prepare func() *pool.Request
+	// FirstHelper names the host to ask first to send the request in this host's place,
+	// empty for none.
+	FirstHelper string
+}
+
+// Outcome is the outcome of a request. Either Response or Failure is set.
+type Outcome struct {
+	Response *pool.Response
+	Failure  *pool.SendError
+	// Helper names the host that sent the request, empty if it was this one.
+	Helper string
+	// AtFault is set if the failure is one of the upstream, and not only of the path of a
+	// host.
+	AtFault bool
+}
+
+// helperPath is a path of another host, or all of its paths if the path is empty.
+type helperPath struct {
+	helper string
+	path   paths.Path
+}
+
+// Caller sends requests to other hosts.
+type Caller interface {
+	// Open opens the link to a host.
+	Open(ctx context.Context, address netip.AddrPort) error
+	// Call sends a request. If the error is links.ErrNotSent, the host did not get it.
+	Call(ctx context.Context, address netip.AddrPort, request links.Payload) (links.Payload, error)
+}
+
+// Sender sends the requests of one host to upstreams. It is safe for concurrent use. All
+// fields but Others must be set.
+type Sender struct {
+	// Self is the name of this host.
+	Self  string
+	Paths *paths.Table
+	Pool  *pool.Pool
+	// Others returns the other hosts that may send to an upstream, the best first. If it is
+	// nil, there are none.
+	Others func(target admit.Target, first string) []state.Entry
+	Caller Caller
+	// Target returns a known upstream of a service.
+	Target func(service string, owner spans.Owner) (admit.Target, bool)
+	// Crashes learns which requests of other hosts lost their upstream.
+	Crashes *crash.Detector
+	Clock   clockwork.Clock
+	Log     log.Interface
+	Stats   *stats.Set
+
+	// sending counts the requests of this host's callers in progress, and forwarding those
+	// of other hosts.
+	sending, forwarding atomic.Int64
+	mutex               sync.Mutex
+	// unhelpful holds until when other hosts are not asked to use a path.
+	unhelpful map[helperPath]time.Time
+	// blockedUntil is until when no other host is known to send for this one.
+	blockedUntil time.Time
+}
+
+// Send sends the request to the upstream once.
+func (sender *Sender) Send(ctx context.Context, target admit.Target, request Request) Outcome {
+	sender.sending.Add(1)
+	defer sender.sending.Add(-1)
+	path := pathTo(target)
+	outcome := Outcome{Failure: &pool.SendError{Failure: pool.FailureNotSent, Cause: errBroken}}
+	if sender.Paths.Usable(path) {
+		outcome = sender.sendDirectly(ctx, path, request.Prepare())
+	} else {
+		sender.tryPath(path)
+	}
+	if outcome.Failure == nil || outcome.Failure.MayHaveRun() || ctx.Err() != nil {
+		return outcome
+	}
+	return sender.sendThroughOther(ctx, target, request, outcome)
+}
+
+// errBroken is the cause of requests that are not sent because the path is broken.
+var errBroken = Error.New("the path to the upstream is broken")
+
+func pathTo(target admit.Target) paths.Path {
+	return paths.Path{Owner: target.Owner, Address: target.Address}
+}
+
+// sendDirectly sends a request on this host's own path and records what that tells about
+// the path. Whether the upstream is at fault for a request that was not sent is left to
+// the caller.
+func (sender *Sender) sendDirectly(ctx context.Context, path paths.Path, request *pool.Request) Outcome {
+	response, failure := sender.Pool.Send(ctx, path.Address, request)
+	switch {
+	case failure == nil:
+		sender.Paths.RecordReached(path)
+		return Outcome{Response: response}
+	case !failure.MayHaveRun():
+		if ctx.Err() == nil {
+			sender.Paths.RecordUnreached(path, failure.Error())
+		}
+		return Outcome{Failure: failure}
+	case failure.Failure == pool.FailureUnacknowledged:
+		sender.Paths.RecordUnreached(path, failure.Error())
+		return Outcome{Failure: failure}
+	case failure.Failure == pool.FailureLost && failure.Received == 0:
+		return Outcome{Failure: failure, AtFault: sender.Paths.RecordLost(path)}
+	case failure.Received > 0:
+		sender.Paths.RecordReached(path)
+		return Outcome{Failure: failure, AtFault: true}
+	default:
+		return Outcome{Failure: failure, AtFault: sender.Paths.Usable(path)}
+	}
+}
+
+// tryPath starts a trial of a path that is not used, if one is due.
+func (sender *Sender) tryPath(path paths.Path) {
+	if !sender.Paths.BeginTrial(path) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+		defer cancel()
+		err := sender.Pool.Probe(ctx, path.Address)
+		sender.Paths.EndTrial(path, err == nil)
+	}()
+}
+
+// sendThroughOther has another host send a request that was not sent on this host's path.
+// Where another host does not reach the upstream either, the upstream is at fault.
+func (sender *Sender) sendThroughOther(ctx context.Context, target admit.Target, request Request, direct Outcome) Outcome {
+	others := sender.others(target, request.FirstHelper)
+	direct.AtFault = len(others) == 0
+	prepared := request.Prepare()
+	if len(prepared.Body) > maxBodyBytes {
+		return direct
+	}
+	asked, answered := 0, len(others) == 0
+	for _, other := range others {
+		if asked == maxHelpers || ctx.Err() != nil {
+			break
+		}
+		path := pathTo(target)
+		if sender.isUnhelpful(helperPath{helper: other.Name}) {
+			continue
+		}
+		if sender.isUnhelpful(helperPath{helper: other.Name, path: path}) {
+			direct.AtFault, answered = true, true
+			continue
+		}
+		asked++
+		reply, err := sender.forward(ctx, other, target, request)
+		switch {
+		case errors.Is(err, links.ErrNotSent):
+			sender.setUnhelpful(helperPath{helper: other.Name})
+			continue
+		case err != nil:
+			return sender.recordDetour(Outcome{Helper: other.Name, Failure: lostFailure(ctx, err)})
+		}
+		answered = true
+		switch reply.Outcome {
+		case forwardAnswered:
+			return sender.recordDetour(Outcome{Helper: other.Name, Response: reply.response()})
+		case forwardFailed:
+			return sender.recordDetour(Outcome{Helper: other.Name, Failure: reply.failure(), AtFault: reply.AtFault})
+		case forwardUnreached:
+			sender.setUnhelpful(helperPath{helper: other.Name, path: path})
+			direct.AtFault = true
+		case forwardIsolated:
+			sender.setUnhelpful(helperPath{helper: other.Name})
+		case forwardDeclined:
+		}
+	}
+	sender.setBlocked(!answered)
+	sender.Stats.Event("detour", "none")
+	return direct
+}
+
+func (sender *Sender) others(target admit.Target, first string) []state.Entry {
+	if sender.Others == nil {
+		return nil
+	}
+	return sender.Others(target, first)
+}
+
+// lostFailure is the failure of a request that was passed to another host, and may have
+// run.
+func lostFailure(ctx context.Context, cause error) *pool.SendError {
+	failure := pool.FailureLost
+	if ctx.Err() != nil {
+		failure = pool.FailureTimeout
+	}
+	return &pool.SendError{Failure: failure, Cause: cause}
+}
+
+// recordDetour counts a request that another host took.
+func (sender *Sender) recordDetour(outcome Outcome) Outcome {
+	sender.setBlocked(false)
+	event := "answered"
+	if outcome.Failure != nil {
+		event = string(outcome.Failure.Failure)
+	}
+	sender.Stats.Event("detour", event)
+	return outcome
+}
+
+func (sender *Sender) isUnhelpful(key helperPath) bool {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	return sender.Clock.Now().Before(sender.unhelpful[key])
+}
+
+func (sender *Sender) setUnhelpful(key helperPath) {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	now := sender.Clock.Now()
+	maps.DeleteFunc(sender.unhelpful, func(_ helperPath, until time.Time) bool { return now.After(until) })
+	if sender.unhelpful == nil {
+		sender.unhelpful = map[helperPath]time.Time{}
+	}
+	sender.unhelpful[key] = now.Add(helperBackoff)
+}
+
+// Blocked reports whether this host reaches neither upstreams nor, as far as it has tried
+// in the last seconds, another host that would send for it.
+func (sender *Sender) Blocked() bool {
+	if !sender.Paths.Isolated() {
+		return false
+	}
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	return sender.Clock.Now().Before(sender.blockedUntil)
+}
+
+func (sender *Sender) setBlocked(blocked bool) {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	sender.blockedUntil = time.Time{}
+	if blocked {
+		sender.blockedUntil = sender.Clock.Now().Add(blockedTime)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/detour/detour_test.go
@@ -0,0 +1,262 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
+	"damaskcrank.example/damaskcrank/internal/dispatch/paths"
+	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
+	"damaskcrank.example/damaskcrank/internal/peer/links"
+)
+
+// longTimeout is far longer than any request takes.
+const longTimeout = 30 * time.Second
+
+// fleet is a set of hosts that send to one upstream.
+type fleet struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	target  admit.Target
+	runs    atomic.Int64
+	hosts   []*host
+	release chan struct{}
+}
+
+// host is a host whose path to the upstream may be cut. Others that call it get the error
+// before or after it has handled the call.
+type host struct {
+	*Sender
+
+	cut           atomic.Bool
+	before, after error
+	calls         atomic.Int64
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	fleet := &fleet{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		fleet.runs.Add(1)
+		if fleet.release != nil {
+			<-fleet.release
+		}
+		writer.Header().Set("Id", request.Header.Get("Id"))
+		_, _ = writer.Write([]byte("answer"))
+	}))
+	t.Cleanup(server.Close)
+	fleet.target = admit.Target{
+		Owner: spans.Owner{ID: "up", Born: 1}, Service: "jobs", Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+	}
+	for number := range size {
+		fleet.hosts = append(fleet.hosts, fleet.newHost(number))
+	}
+	return fleet
+}
+
+func (fleet *fleet) newHost(number int) *host {
+	host, logger, set := &host{}, &log.Logger{Handler: discard.New()}, &stats.Set{}
+	host.Sender = &Sender{
+		Self: string(rune('a' + number)), Paths: &paths.Table{Clock: fleet.clock, Log: logger, Stats: set},
+		Pool: &pool.Pool{
+			Clock: fleet.clock, Matches: func(*pool.Request, http.Header) bool { return true },
+			Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+				if host.cut.Load() {
+					return nil, syscall.ECONNREFUSED
+				}
+				var dialer net.Dialer
+				return dialer.DialContext(ctx, "tcp", address.String())
+			},
+		},
+		Others: func(admit.Target, string) []state.Entry { return fleet.others(number) },
+		Caller: fleet,
+		Target: func(string, spans.Owner) (admit.Target, bool) { return fleet.target, true },
+		Crashes: &crash.Detector{
+			Clock: fleet.clock, Log: logger, Stats: set,
+		},
+		Clock: fleet.clock, Log: logger, Stats: set,
+	}
+	fleet.t.Cleanup(host.Pool.Close)
+	return host
+}
+
+func peer(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1)
+}
+
+func (fleet *fleet) others(self int) []state.Entry {
+	var others []state.Entry
+	for number := range fleet.hosts {
+		if number != self {
+			others = append(others, state.Entry{Name: string(rune('a' + number)), Peer: peer(number)})
+		}
+	}
+	return others
+}
+
+// Open implements Caller.
+func (fleet *fleet) Open(context.Context, netip.AddrPort) error { return nil }
+
+// Call implements Caller.
+func (fleet *fleet) Call(ctx context.Context, address netip.AddrPort, request links.Payload) (links.Payload, error) {
+	for number, host := range fleet.hosts {
+		if peer(number) != address {
+			continue
+		}
+		host.calls.Add(1)
+		if host.before != nil {
+			return links.Payload{}, host.before
+		}
+		reply := host.Serve(ctx, request)
+		return reply, host.after
+	}
+	return links.Payload{}, links.ErrNotSent
+}
+
+// send sends a request through the first host.
+func (fleet *fleet) send() Outcome {
+	ctx, cancel := context.WithTimeout(fleet.t.Context(), longTimeout)
+	defer cancel()
+	return fleet.hosts[0].Send(ctx, fleet.target, Request{
+		ID: "1", Content: "content", Deadline: fleet.clock.Now().Add(longTimeout),
+		Prepare: func() *pool.Request {
+			return &pool.Request{Method: http.MethodGet, Target: "/", Host: "host", Header: http.Header{"Id": {"1"}}}
+		},
+	})
+}
+
+// TestOutcomes checks through which host a request goes, whether it may have run, and
+// whether the upstream is at fault, for hosts whose paths are cut or that are lost.
+func TestOutcomes(t *testing.T) {
+	type outcome struct {
+		helper     string
+		answered   bool
+		mayHaveRun bool
+		atFault    bool
+		runs       int64
+	}
+	cases := []struct {
+		name string
+		size int
+		// cut are the numbers of the hosts whose paths are cut.
+		cut           []int
+		before, after error
+		want          outcome
+	}{
+		{"own path", 3, nil, nil, nil, outcome{answered: true, runs: 1}},
+		{"first other host", 3, []int{0}, nil, nil, outcome{helper: "b", answered: true, runs: 1}},
+		{"second other host", 3, []int{0, 1}, nil, nil, outcome{helper: "c", answered: true, runs: 1}},
+		{"nobody reaches the upstream", 3, []int{0, 1, 2}, nil, nil, outcome{atFault: true}},
+		{"there is no other host", 1, []int{0}, nil, nil, outcome{atFault: true}},
+		{"the request does not get to the other host", 3, []int{0}, links.ErrNotSent, nil, outcome{helper: "c", answered: true, runs: 1}},
+		{"the other host is lost after it got the request", 3, []int{0}, links.ErrLost, nil, outcome{helper: "b", mayHaveRun: true}},
+		{"the other host's reply is lost", 3, []int{0}, nil, links.ErrLost, outcome{helper: "b", mayHaveRun: true, runs: 1}},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(t, testcase.size)
+			for _, number := range testcase.cut {
+				fleet.hosts[number].cut.Store(true)
+			}
+			if testcase.size > 1 {
+				fleet.hosts[1].before, fleet.hosts[1].after = testcase.before, testcase.after
+			}
+			got := fleet.send()
+			is.Equal(got.Helper, testcase.want.helper)
+			is.Equal(got.Failure == nil, testcase.want.answered)
+			is.Equal(got.Failure != nil && got.Failure.MayHaveRun(), testcase.want.mayHaveRun)
+			is.Equal(got.AtFault, testcase.want.atFault)
+			is.Equal(fleet.runs.Load(), testcase.want.runs)
+			if testcase.want.answered {
+				is.Equal(got.Response.Header.Get("Id"), "1")
+				is.Equal(got.Response.Body.Len(), len("answer"))
+			}
+		})
+	}
+}
+
+// TestBrokenPathsAreNotTriedByRequests guards against a request that waits for a path that
+// is known to be broken, on its own host and on others.
+func TestBrokenPathsAreNotTriedByRequests(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	fleet.hosts[0].cut.Store(true)
+	fleet.hosts[1].cut.Store(true)
+	is.Equal(fleet.send().Helper, "c")
+	is.Equal(fleet.send().Helper, "c")
+	is.Equal(fleet.hosts[1].calls.Load(), int64(1))
+	fleet.hosts[1].cut.Store(false)
+	fleet.clock.Advance(helperBackoff)
+	is.Equal(fleet.send().Helper, "c") // the other host has not found out yet
+	for !fleet.hosts[1].Paths.Usable(pathTo(fleet.target)) {
+		fleet.clock.Advance(helperBackoff)
+		fleet.send()
+	}
+	fleet.clock.Advance(helperBackoff)
+	is.Equal(fleet.send().Helper, "b")
+}
+
+// TestForwardedWorkIsBounded guards against requests of other hosts that use up a host on
+// which its own callers depend.
+func TestForwardedWorkIsBounded(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.hosts[0].cut.Store(true)
+	fleet.release = make(chan struct{})
+	outcomes := make(chan Outcome, 2*minForwarding)
+	for range 2 * minForwarding {
+		go func() { outcomes <- fleet.send() }()
+	}
+	for range minForwarding { // these are refused at once, while the others wait
+		got := <-outcomes
+		is.True(got.Failure != nil)
+		is.True(!got.Failure.MayHaveRun())
+		is.True(!got.AtFault)
+	}
+	close(fleet.release)
+	for range minForwarding {
+		is.True((<-outcomes).Failure == nil)
+	}
+}
+
+// TestIsolatedHostWithoutHelpIsBlocked guards against a host that goes on taking callers
+// though it reaches neither upstreams nor other hosts.
+func TestIsolatedHostWithoutHelpIsBlocked(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	sender := fleet.hosts[0].Sender
+	fleet.hosts[0].cut.Store(true)
+	fleet.hosts[1].before = errors.Join(links.ErrNotSent, errors.New("no route"))
+	is.True(fleet.send().Failure != nil)
+	is.True(!sender.Blocked())
+	for number := range 3 {
+		target := fleet.target
+		target.Owner.Born += int64(number)
+		sender.Paths.RecordUnreached(pathTo(target), "refused")
+	}
+	fleet.clock.Advance(helperBackoff)
+	is.True(fleet.send().Failure != nil)
+	is.True(sender.Blocked())
+	fleet.hosts[1].before = nil
+	fleet.clock.Advance(helperBackoff)
+	is.Equal(fleet.send().Helper, "b")
+	is.True(!sender.Blocked())
+}
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -149,6 +149,34 @@
 	return best, found
 }
 
+// Others returns the other entry hosts, in the order in which they should send a request
+// in this host's place: first the one given, which is known to be alive, then those in the
+// upstream's data centre, those in this host's, and all others.
+func (client *Client) Others(target admit.Target, first string) []state.Entry {
+	client.mutex.Lock()
+	others := slices.DeleteFunc(slices.Clone(client.entries), func(entry state.Entry) bool {
+		return entry.Name == client.self || !eligible(entry)
+	})
+	client.mutex.Unlock()
+	distance := func(entry state.Entry) int {
+		switch {
+		case entry.Name == first:
+			return 0
+		case entry.DataCentre == target.DataCentre:
+			return 1
+		case entry.DataCentre == client.dataCentre:
+			return 2
+		default:
+			return 3
+		}
+	}
+	slices.SortFunc(others, func(left, right state.Entry) int {
+		return cmp.Or(cmp.Compare(distance(left), distance(right)),
+			cmp.Compare(primaryScore(target.Owner.ID, right), primaryScore(target.Owner.ID, left)))
+	})
+	return others
+}
+
 // eligible reports whether an entry host may be a primary.
 func eligible(entry state.Entry) bool { return !entry.Draining && entry.Peer.IsValid() }
 
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/detour"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 )
@@ -60,7 +61,8 @@
 
 // deliver writes the upstream's response to the caller, unchanged but for
 // hop-by-hop header fields.
-func (exchange *exchange) deliver(response *pool.Response, permit *permit.Permit) {
+func (exchange *exchange) deliver(outcome detour.Outcome, permit *permit.Permit) {
+	response := outcome.Response
 	header := exchange.writer.Header()
 	for name, values := range pool.EndToEnd(response.Header) {
 		header[name] = values
@@ -71,12 +73,14 @@
 	header.Set("Content-Length", strconv.Itoa(response.Body.Len()))
 	exchange.writer.WriteHeader(response.Status)
 	if _, err := response.Body.WriteTo(exchange.writer); err != nil {
-		exchange.logEvent("cannot write the response to the caller", permit, log.Fields{"cause": err.Error()})
+		exchange.logEvent("cannot write the response to the caller", permit, log.Fields{fieldCause: err.Error()})
 		return
 	}
 	took := exchange.relay.Clock.Now().Sub(exchange.arrived)
 	exchange.relay.Stats.Answered(exchange.service, exchange.workspace, took)
-	exchange.logEvent("request answered", permit, log.Fields{"status": response.Status, "bytes": response.Body.Len()})
+	exchange.logEvent("request answered", permit, log.Fields{
+		"status": response.Status, "bytes": response.Body.Len(), "helper": outcome.Helper,
+	})
 }
 
 // logEvent logs a decision about the request together with its inputs. The
--- a/internal/entry/relay/crash_test.go
+++ b/internal/entry/relay/crash_test.go
@@ -77,7 +77,7 @@
 	}
 	for range crashHosts {
 		host := newRelayWithClock(t, &upstreams{listener: fleet.upstreams[0].listener}, 0, clockwork.NewRealClock())
-		host.Pool.LingerTime = crashLingerTime
+		host.Sender.Pool.LingerTime = crashLingerTime
 		host.Crashes.Suspects = func() map[string]state.Suspect { return fleet.catalog.Quarantine }
 		fleet.hosts = append(fleet.hosts, host)
 	}
@@ -151,7 +151,7 @@
 // and of what the others know about suspect requests.
 func (crashfleet *crashFleet) settle() {
 	for _, host := range crashfleet.hosts {
-		host.Pool.Wait()
+		host.Sender.Pool.Wait()
 		if !crashfleet.restartsAtOnce {
 			host.Crashes.Wait()
 		}
--- a/internal/entry/relay/cut_test.go
+++ b/internal/entry/relay/cut_test.go
@@ -21,6 +21,7 @@
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+	"damaskcrank.example/damaskcrank/internal/dispatch/detour"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/peer/links"
@@ -142,13 +143,21 @@
 func (cuthost *cutHost) start() {
 	fleet, clock := cuthost.fleet, clockwork.NewRealClock()
 	relay := newRelayWithClock(fleet.t, &upstreams{listener: fleet.upstreams[0].server.Listener}, 0, clock)
-	relay.Pool.Dial = cuthost.dial
+	relay.Sender.Pool.Dial = cuthost.dial
 	exclusive := admit.NewExclusiveScheduler(clock, 1)
 	exclusive.Update("jobs", fleet.targets, fleet.table)
 	relay.Scheduler.Update("jobs", fleet.targets, fleet.table)
 	primary := permit.NewPrimary(exclusive, clock, relay.Log)
 	relay.Permits = permit.NewClient(cuthost.entry, relay.Scheduler, primary, cuthost, clock, relay.Log)
-	cuthost.relay, cuthost.serve = relay, primary.Serve
+	relay.Sender.Self, relay.Sender.Others, relay.Sender.Caller = cuthost.entry.Name, relay.Permits.Others, cuthost
+	relay.Sender.Crashes = relay.Crashes
+	cuthost.relay = relay
+	cuthost.serve = func(ctx context.Context, request links.Payload) links.Payload {
+		if detour.Handles(request) {
+			return relay.Sender.Serve(ctx, request)
+		}
+		return primary.Serve(ctx, request)
+	}
 }
 
 // errNoHost is the error of calls to hosts that are lost.
@@ -164,6 +173,9 @@
 	return links.Payload{}, errors.Join(links.ErrNotSent, errNoHost)
 }
 
+// Open implements detour.Caller.
+func (cuthost *cutHost) Open(context.Context, netip.AddrPort) error { return nil }
+
 // CloseLink implements permit.Caller.
 func (cuthost *cutHost) CloseLink(netip.AddrPort) {}
 
@@ -352,8 +364,8 @@
 				if testcase.isCut(host) {
 					host.cutOff(testcase.how)
 					if testcase.how == cutRefuses {
-						host.relay.Pool.Close() // what is open closes sooner or later
-						host.relay.Pool = &pool.Pool{Clock: host.relay.Clock, Matches: host.relay.Pool.Matches, Dial: host.dial}
+						host.relay.Sender.Pool.Close() // what is open closes sooner or later
+						host.relay.Sender.Pool = &pool.Pool{Clock: host.relay.Clock, Matches: host.relay.Sender.Pool.Matches, Dial: host.dial}
 					}
 				}
 			}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -21,6 +21,7 @@
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
 	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
+	"damaskcrank.example/damaskcrank/internal/dispatch/detour"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
@@ -32,6 +33,8 @@
 const (
 	// logPrefix starts every log message of this package.
 	logPrefix = "relay: "
+	// fieldCause is the log field for the cause of a failure or of a retry.
+	fieldCause = "cause"
 	// workspacePriorityFactor weights a workspace's priority relative to a route's.
 	workspacePriorityFactor = 1000
 	// defaultRetryAfter is the Retry-After for refusals without an estimate of
@@ -53,6 +56,8 @@
 	// quarantineRetryAfter is the Retry-After for requests that end upstreams. They are
 	// refused until an operator clears them.
 	quarantineRetryAfter = time.Hour
+	// maxUnsent bounds the attempts of a request that reach no upstream.
+	maxUnsent = 3
 	// maxCauseBytes bounds the text of an error in a log line.
 	maxCauseBytes = 256
 )
@@ -121,7 +126,7 @@
 	Protocol  Protocol
 	Scheduler *admit.Scheduler
 	Permits   *permit.Client
-	Pool      *pool.Pool
+	Sender    *detour.Sender
 	Limiter   *share.Limiter
 	// Crashes finds the requests that end upstreams.
 	Crashes *crash.Detector
@@ -163,6 +168,8 @@
 	// content is the fingerprint of the request's content, empty until the body is read.
 	content string
 	sends   int
+	// unsent counts the attempts that reached no upstream.
+	unsent int
 	// mayHaveRun is set once an upstream may have begun the request.
 	mayHaveRun bool
 	// possibleRuns counts the upstreams that may have begun the request.
@@ -374,10 +381,11 @@
 		return false
 	}
 	exchange.sends++
-	response, failure := exchange.send(ctx, permit)
-	if failure != nil {
-		return exchange.handleFailure(ctx, permit, failure)
+	outcome := exchange.send(ctx, permit)
+	if outcome.Failure != nil {
+		return exchange.handleFailure(ctx, permit, outcome)
 	}
+	response := outcome.Response
 	responseinfo := relay.Protocol.ParseResponse(response.Status, response.Header)
 	permit.RecordLimit(responseinfo.RateLimit)
 	switch {
@@ -392,7 +400,7 @@
 	if response.Status != http.StatusGatewayTimeout { // a 504 may come from the upstream's queue
 		relay.Crashes.Answered(exchange.content)
 	}
-	exchange.deliver(response, permit)
+	exchange.deliver(outcome, permit)
 	return false
 }
 
@@ -420,22 +428,30 @@
 
 // send sends the request once. A request that is not idempotent is not canceled
 // when its caller disconnects.
-func (exchange *exchange) send(ctx context.Context, permit *permit.Permit) (*pool.Response, *pool.SendError) {
-	relay := exchange.relay
+func (exchange *exchange) send(ctx context.Context, permit *permit.Permit) detour.Outcome {
 	if !exchange.route.Idempotent {
 		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadlineOf(ctx))
 		defer cancel()
 		ctx = detached
 	}
+	return exchange.relay.Sender.Send(ctx, permit.Target, detour.Request{
+		ID: exchange.caller.ID, Content: exchange.content, Deadline: exchange.deadline.Add(-responseMargin), FirstHelper: permit.Source,
+		Prepare: func() *pool.Request { return exchange.prepare(permit) },
+	})
+}
+
+// prepare returns the request to the upstream of a permit, as it is sent now.
+func (exchange *exchange) prepare(permit *permit.Permit) *pool.Request {
+	relay := exchange.relay
 	header := pool.EndToEnd(exchange.request.Header)
 	relay.Protocol.PrepareHeader(header, ForwardInfo{
 		Timeout:  max(time.Millisecond, exchange.deadline.Sub(relay.Clock.Now())-responseMargin),
 		Upstream: permit.Target.Owner.ID, Workspace: exchange.workspace,
 	})
-	return relay.Pool.Send(ctx, permit.Target.Address, &pool.Request{
+	return &pool.Request{
 		Method: exchange.request.Method, Target: exchange.request.RequestURI, Host: exchange.request.Host,
 		Header: header, Body: exchange.body, OnLateLoss: func() { exchange.reportLoss(permit) },
-	})
+	}
 }
 
 // reportLoss reports that the upstream cut the request's connection.
@@ -454,40 +470,66 @@
 // responds to the caller otherwise. Once a request may have run, it is retried
 // only if its route is idempotent and allows more attempts, and only if no upstream has
 // ended before while it ran the request.
-func (exchange *exchange) handleFailure(ctx context.Context, permit *permit.Permit, failure *pool.SendError) bool {
-	if exchange.request.Context().Err() != nil {
-		permit.Release(admit.ResultLeft, nil)
-	} else {
-		permit.Release(admit.ResultFailed, nil)
-	}
+func (exchange *exchange) handleFailure(ctx context.Context, permit *permit.Permit, outcome detour.Outcome) bool {
+	failure := outcome.Failure
+	permit.Release(exchange.classifyFailure(outcome), nil)
 	if failure.MayHaveRun() {
 		exchange.mayHaveRun = true
 		exchange.possibleRuns++
 	}
-	if failure.Failure == pool.FailureLost {
+	if failure.Failure == pool.FailureLost && outcome.Helper == "" {
 		exchange.reportLoss(permit)
 	}
 	exchange.logEvent("no response from the upstream", permit, log.Fields{
 		"failure": string(failure.Failure), "fault": string(failure.Reason), "received": failure.Received,
-		"cause": shorten(failure.Cause.Error()), "mayHaveRun": exchange.mayHaveRun,
+		fieldCause: shorten(failure.Cause.Error()), "mayHaveRun": exchange.mayHaveRun, "helper": outcome.Helper, "atFault": outcome.AtFault,
 	})
 	// A caller that leaves ends an idempotent request within a response that may be fine.
 	left := exchange.route.Idempotent && exchange.request.Context().Err() != nil
 	if failure.Reason != "" && (!left || failure.Reason != pool.ReasonUnfinished) {
 		exchange.relay.Stats.Event("response", string(failure.Reason))
 	}
-	if ctx.Err() != nil {
+	switch suspect := failure.MayHaveRun() && exchange.relay.Crashes.Verdict(exchange.content).Ends > 0; {
+	case ctx.Err() != nil:
 		exchange.fail("timeout")
 		return false
-	}
-	suspect := failure.MayHaveRun() && exchange.relay.Crashes.Verdict(exchange.content).Ends > 0
-	if exchange.mayHaveRun && !exchange.route.Idempotent || exchange.possibleRuns >= exchange.route.Attempts || suspect {
+	case exchange.mayHaveRun && !exchange.route.Idempotent, exchange.possibleRuns >= exchange.route.Attempts, suspect:
 		exchange.fail(string(failure.Failure))
 		return false
+	case !failure.MayHaveRun():
+		return exchange.retryUnsent(string(failure.Failure), permit)
 	}
 	return exchange.retry(string(failure.Failure), permit)
 }
 
+// classifyFailure returns the result that is reported for the upstream of a request that
+// got no response.
+func (exchange *exchange) classifyFailure(outcome detour.Outcome) admit.Result {
+	switch {
+	case exchange.request.Context().Err() != nil:
+		return admit.ResultLeft
+	case outcome.AtFault:
+		return admit.ResultFailed
+	default:
+		return admit.ResultUnreached
+	}
+}
+
+// retryUnsent reports whether a request that reached no upstream gets another attempt, and
+// responds to the caller otherwise. Such attempts are no retries for the upstreams, and
+// take nothing from the retry budget.
+func (exchange *exchange) retryUnsent(reason string, permit *permit.Permit) bool {
+	relay := exchange.relay
+	exchange.unsent++
+	if exchange.unsent >= maxUnsent {
+		exchange.respondRefusal(&admit.Refusal{Reason: admit.Reason(reason), RetryAfter: defaultRetryAfter})
+		return false
+	}
+	relay.Stats.Retried(reason)
+	exchange.logEvent("retrying request", permit, log.Fields{fieldCause: reason, "unsent": exchange.unsent})
+	return true
+}
+
 // shorten bounds the text of an error, which may quote all that an upstream sent.
 func shorten(text string) string {
 	if len(text) <= maxCauseBytes {
@@ -503,12 +545,12 @@
 	left, ok := relay.Scheduler.TakeRetry(exchange.service)
 	if !ok {
 		relay.Stats.Retried("overBudget")
-		exchange.logEvent("retry budget used up", permit, log.Fields{"reason": reason, "retriesLeft": left})
+		exchange.logEvent("retry budget used up", permit, log.Fields{fieldCause: reason, "retriesLeft": left})
 		exchange.respondRefusal(&admit.Refusal{Reason: admit.Reason(reason + "OverBudget"), RetryAfter: defaultRetryAfter})
 		return false
 	}
 	relay.Stats.Retried(reason)
-	exchange.logEvent("retrying request", permit, log.Fields{"reason": reason, "retriesLeft": left})
+	exchange.logEvent("retrying request", permit, log.Fields{fieldCause: reason, "retriesLeft": left})
 	return true
 }
 
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -25,6 +25,8 @@
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
+	"damaskcrank.example/damaskcrank/internal/dispatch/detour"
+	"damaskcrank.example/damaskcrank/internal/dispatch/paths"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
@@ -130,8 +132,12 @@
 	connections := &pool.Pool{Clock: clock, Matches: func(*pool.Request, http.Header) bool { return true }}
 	t.Cleanup(connections.Close)
 	counters := &stats.Set{}
+	sender := &detour.Sender{
+		Pool: connections, Paths: &paths.Table{Clock: clock, Log: logger, Stats: counters}, Target: scheduler.Target,
+		Clock: clock, Log: logger, Stats: counters,
+	}
 	return &Relay{
-		Protocol: protocol{}, Scheduler: scheduler, Pool: connections, Limiter: &share.Limiter{}, Clock: clock, Log: logger,
+		Protocol: protocol{}, Scheduler: scheduler, Sender: sender, Limiter: &share.Limiter{}, Clock: clock, Log: logger,
 		Permits: permit.NewClient(state.Entry{Name: "host"}, scheduler, nil, nil, clock, logger), Stats: counters,
 		Crashes: &crash.Detector{Clock: clock, Log: logger, Stats: counters},
 		Config: func() ConfigSnapshot {
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -17,6 +17,8 @@
 	"damaskcrank.example/damaskcrank/internal/control/steer"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
+	"damaskcrank.example/damaskcrank/internal/dispatch/detour"
+	"damaskcrank.example/damaskcrank/internal/dispatch/paths"
 	"damaskcrank.example/damaskcrank/internal/dispatch/permit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 	"damaskcrank.example/damaskcrank/internal/entry/relay"
@@ -68,6 +70,7 @@
 	links            *links.Client
 	server           *links.Server
 	pool             *pool.Pool
+	sender           *detour.Sender
 	limiter          *share.Limiter
 	crashes          *crash.Detector
 	relay            *relay.Relay
@@ -121,20 +124,20 @@
 		primaryScheduler: admit.NewExclusiveScheduler(options.Clock, rand.Uint64()),                  //nolint:gosec // spreads load
 	}
 	entry.pool = &pool.Pool{Matches: matches, Clock: options.Clock, OnUnexpectedBytes: entry.reportUnexpectedBytes}
-	if err := entry.openLinks(); err != nil {
-		entry.Kill()
-		return nil, err
-	}
 	entry.limiter.Borrow = entry.borrow
 	entry.follower = fetch.NewFollower(entry.client, entry.leaderIndex.Load, options.Log)
 	entry.crashes = &crash.Detector{
 		Suspects: func() map[string]state.Suspect { return entry.follower.Catalog().Quarantine }, OnReport: entry.hastenPoll,
 		Clock: options.Clock, Log: options.Log, Stats: options.Stats,
 	}
+	if err := entry.openLinks(); err != nil {
+		entry.Kill()
+		return nil, err
+	}
 	entry.relay = &relay.Relay{
-		Protocol: protocol, Scheduler: entry.scheduler, Permits: entry.permits, Pool: entry.pool, Limiter: entry.limiter, Config: entry.currentConfig,
+		Protocol: protocol, Scheduler: entry.scheduler, Permits: entry.permits, Sender: entry.sender, Limiter: entry.limiter, Config: entry.currentConfig,
 		Crashes:      entry.crashes,
-		MaxConfigAge: entry.maxAge(), OnKeyRequest: entry.recordKey, Draining: entry.draining.Load, Clock: options.Clock,
+		MaxConfigAge: entry.maxAge(), OnKeyRequest: entry.recordKey, Draining: entry.turnsCallersAway, Clock: options.Clock,
 		Log: options.Log, Stats: options.Stats, StartedAt: options.Clock.Now(),
 	}
 	if err := entry.listen(); err != nil {
@@ -170,14 +173,27 @@
 	self := state.Entry{Name: settings.Host.Name, DataCentre: settings.Host.DataCentre}
 	entry.permits = permit.NewClient(self, entry.scheduler, entry.primary, entry.links, entry.options.Clock, entry.options.Log)
 	entry.primaryScheduler.LimitShare = entry.permits.LimitShare
+	entry.sender = &detour.Sender{
+		Self: settings.Host.Name, Pool: entry.pool, Others: entry.permits.Others, Caller: entry.links, Target: entry.scheduler.Target,
+		Paths:   &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
+		Crashes: entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
+	}
 	noDatagram := func([]byte) []byte { return nil }
-	entry.server, err = links.Listen(settings.Peer.Address, secret, entry.primary.Serve, noDatagram, entry.options.Log)
+	entry.server, err = links.Listen(settings.Peer.Address, secret, entry.serveHost, noDatagram, entry.options.Log)
 	if err != nil {
 		return Error.New("listen for links: %w", err)
 	}
 	return nil
 }
 
+// serveHost handles a request of another entry host.
+func (entry *Entry) serveHost(ctx context.Context, request links.Payload) links.Payload {
+	if detour.Handles(request) {
+		return entry.sender.Serve(ctx, request)
+	}
+	return entry.primary.Serve(ctx, request)
+}
+
 // maxAge returns how long after its last confirmation the configuration may still be
 // used to serve callers.
 func (entry *Entry) maxAge() time.Duration {
@@ -213,12 +229,16 @@
 	}
 }
 
-// Ready reports whether callers are served: the host is not draining, and it has a
+// turnsCallersAway reports whether callers should use another host: this one stops, or
+// reaches no upstream and no host that does.
+func (entry *Entry) turnsCallersAway() bool { return entry.draining.Load() || entry.sender.Blocked() }
+
+// Ready reports whether callers are served: the host does not turn them away, and it has a
 // configuration that was confirmed recently enough.
 func (entry *Entry) Ready() bool {
 	config := entry.currentConfig()
 	age := entry.options.Clock.Now().Sub(config.ConfirmedAt)
-	return !entry.draining.Load() && config.View.Configured && age < entry.maxAge()
+	return !entry.turnsCallersAway() && config.View.Configured && age < entry.maxAge()
 }
 
 // currentConfig returns the configuration and the latest time at which the leader
@@ -383,12 +403,14 @@
 	targets := map[string][]admit.Target{}
 	leaving := map[string]time.Time{}
 	present := map[netip.AddrPort]bool{}
+	known := map[paths.Path]bool{}
 	for _, instance := range catalog.Instances {
 		service, ok := catalog.View().Service(instance.Service)
 		if !ok {
 			continue
 		}
 		present[instance.Address] = true
+		known[paths.Path{Owner: instance.Owner(), Address: instance.Address}] = true
 		target := admit.Target{
 			Owner: instance.Owner(), Service: instance.Service, Address: instance.Address,
 			DataCentre: instance.DataCentre, Slots: instance.Slots, Keyed: service.Keyed, Cold: instance.Cold, Silent: instance.Silent,
@@ -412,6 +434,7 @@
 		}
 		entry.primaryScheduler.Update(name, targets[name], catalog.Spans[name])
 	}
+	entry.sender.Paths.Keep(known)
 	entry.crashes.Update(catalog.Instances)
 	entry.leavingSince = leaving
 	for address := range entry.knownAddresses {
--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -71,6 +71,12 @@
 	return client, nil
 }
 
+// Open opens the link to a host, if there is none, and waits until it is ready.
+func (client *Client) Open(ctx context.Context, address netip.AddrPort) error {
+	_, err := client.readyLink(ctx, address)
+	return err
+}
+
 // Call sends a request and waits for its reply. If the error is ErrNotSent, the
 // other host is known not to have received the request.
 func (client *Client) Call(ctx context.Context, address netip.AddrPort, request Payload) (Payload, error) {
