Reproduce upstreams that count as ended when a path is cut, known to fail

Three for one content would have all hosts refuse it for an hour.

The detector gets a hook for the question whether a port is closed.

--- a/internal/dispatch/crash/crash.go
+++ b/internal/dispatch/crash/crash.go
@@ -78,7 +78,10 @@
 	Suspects func() map[string]state.Suspect
 	// OnReport, if set, is called when there is something new to report.
 	OnReport func()
-	Clock    clockwork.Clock
+	// PortClosed, if set, reports whether nothing listens at the address of the upstream of
+	// an attempt, in place of a dial by this host.
+	PortClosed func(ctx context.Context, attempt Attempt) bool
+	Clock      clockwork.Clock
 	Log      log.Interface
 	Stats    *stats.Set
 
@@ -120,7 +123,11 @@
 	detector.probes.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		if portClosed(ctx, attempt.Address) {
+		closed := detector.PortClosed
+		if closed == nil {
+			closed = func(ctx context.Context, attempt Attempt) bool { return portClosed(ctx, attempt.Address) }
+		}
+		if closed(ctx, attempt) {
 			detector.recordEnd(attempt, "portClosed")
 			return
 		}
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -38,6 +38,7 @@
 	runs    atomic.Int64
 	hosts   []*host
 	release chan struct{}
+	server  *httptest.Server
 }
 
 // host is a host whose path to the upstream may be cut. Others that call it get the error
@@ -53,7 +54,7 @@
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
 	fleet := &fleet{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	fleet.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		fleet.runs.Add(1)
 		if fleet.release != nil {
 			<-fleet.release
@@ -61,9 +62,9 @@
 		writer.Header().Set("Id", request.Header.Get("Id"))
 		_, _ = writer.Write([]byte("answer"))
 	}))
-	t.Cleanup(server.Close)
+	t.Cleanup(fleet.server.Close)
 	fleet.target = admit.Target{
-		Owner: spans.Owner{ID: "up", Born: 1}, Service: "jobs", Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+		Owner: spans.Owner{ID: "up", Born: 1}, Service: "jobs", Address: netip.MustParseAddrPort(fleet.server.Listener.Addr().String()),
 	}
 	for number := range size {
 		fleet.hosts = append(fleet.hosts, fleet.newHost(number))
@@ -93,6 +94,9 @@
 		},
 		Clock: fleet.clock, Log: logger, Stats: set,
 	}
+	host.Crashes.PortClosed = func(ctx context.Context, attempt crash.Attempt) bool {
+		return errors.Is(host.Pool.Probe(ctx, attempt.Address), syscall.ECONNREFUSED)
+	}
 	fleet.t.Cleanup(host.Pool.Close)
 	return host
 }
@@ -260,3 +264,42 @@
 	is.Equal(fleet.send().Helper, "b")
 	is.True(!sender.Blocked())
 }
+
+// TestCutPathIsNoEndOfUpstream guards against requests that are refused everywhere as
+// harmful because a host lost its path to three upstreams that ran them, and that went on.
+func TestCutPathIsNoEndOfUpstream(t *testing.T) {
+	cases := []struct {
+		name string
+		// cut are the numbers of the hosts whose paths are cut, and lost those of the hosts
+		// that do not answer.
+		cut, lost []int
+		ended     bool
+		ends      int
+	}{
+		{"the path of one host is cut", []int{0}, nil, false, 0},
+		{"the paths of two hosts are cut", []int{0, 1}, nil, false, 0},
+		{"the path is cut and one host does not answer", []int{0}, []int{1}, false, 0},
+		{"the path is cut and no host answers", []int{0}, []int{1, 2}, false, 0},
+		{"the upstream ended", nil, nil, true, 1},
+		{"the upstream ended and one host does not answer", nil, []int{1}, true, 1},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(t, 3)
+			for _, number := range testcase.cut {
+				fleet.hosts[number].cut.Store(true)
+			}
+			for _, number := range testcase.lost {
+				fleet.hosts[number].before = links.ErrNotSent
+			}
+			if testcase.ended {
+				fleet.server.Close()
+			}
+			detector := fleet.hosts[0].Crashes
+			detector.Lost(crash.Attempt{Content: "content", Owner: fleet.target.Owner, Address: fleet.target.Address})
+			detector.Wait()
+			is.Equal(detector.Verdict("content").Ends, testcase.ends)
+		})
+	}
+}
