Take an upstream for ended only if other hosts find its port closed too

After three for one content all hosts would have refused it for an hour; after one it got no second attempt.

Cause: the detector's evidence, a closed port, is what one host sees of its path. Ruled out: dropping the evidence of a closed port, since a process that ends and starts again within its upstream's heartbeat shows no other in time (the bound allows three sends after the third end).

The host asks others: one that connects refutes it, two that are refused confirm it, hosts that reach no upstream at all don't count. Without an answer the cut connection stays undecided, and a newer process at the address still tells.

TestCutPathIsNoEndOfUpstream failed before in its four cases with a cut path; the two in which the upstream ended passed and pass.

--- a/internal/dispatch/crash/crash.go
+++ b/internal/dispatch/crash/crash.go
@@ -45,6 +45,7 @@
 type Attempt struct {
 	// Content is the fingerprint of the request's content.
 	Content string
+	Service string
 	Owner   spans.Owner
 	Address netip.AddrPort
 }
@@ -78,12 +79,12 @@
 	Suspects func() map[string]state.Suspect
 	// OnReport, if set, is called when there is something new to report.
 	OnReport func()
-	// PortClosed, if set, reports whether nothing listens at the address of the upstream of
-	// an attempt, in place of a dial by this host.
+	// PortClosed, if set, reports whether nothing listens at the upstream of an attempt. If
+	// it is nil, this host's own connection decides.
 	PortClosed func(ctx context.Context, attempt Attempt) bool
 	Clock      clockwork.Clock
-	Log      log.Interface
-	Stats    *stats.Set
+	Log        log.Interface
+	Stats      *stats.Set
 
 	mutex sync.Mutex
 	// losses holds the ends that this host attributes to requests until the catalog
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -94,9 +94,7 @@
 		},
 		Clock: fleet.clock, Log: logger, Stats: set,
 	}
-	host.Crashes.PortClosed = func(ctx context.Context, attempt crash.Attempt) bool {
-		return errors.Is(host.Pool.Probe(ctx, attempt.Address), syscall.ECONNREFUSED)
-	}
+	host.Crashes.PortClosed = host.PortClosed
 	fleet.t.Cleanup(host.Pool.Close)
 	return host
 }
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -68,15 +68,30 @@
 }
 
 // Handles reports whether Serve handles a request of another host.
-func Handles(request links.Payload) bool { return request.Kind == kindForward }
+func Handles(request links.Payload) bool {
+	return request.Kind == kindForward || request.Kind == kindProbe
+}
 
-// Serve sends a request for another host and returns the outcome. The context ends when
-// that host cancels the request or is lost.
+// Serve sends a request or a probe for another host and returns the outcome. The context
+// ends when that host cancels the request or is lost.
 func (sender *Sender) Serve(ctx context.Context, request links.Payload) links.Payload {
+	serve := sender.serveForward
+	if request.Kind == kindProbe {
+		serve = sender.serveProbe
+	}
+	reply, err := serve(ctx, request)
+	if err != nil {
+		sender.Log.WithError(err).Warn(logPrefix + "cannot handle a request of another host")
+		return links.Payload{Kind: kindUnknown}
+	}
+	return reply
+}
+
+// serveForward handles a forwardMessage.
+func (sender *Sender) serveForward(ctx context.Context, request links.Payload) (links.Payload, error) {
 	var message forwardMessage
 	if err := codec.Unmarshal(request.Head, &message); err != nil {
-		sender.Log.WithError(err).Warn(logPrefix + "cannot decode a request of another host")
-		return links.Payload{Kind: kindUnknown}
+		return links.Payload{}, Error.New("decode a request: %w", err)
 	}
 	reply := sender.serve(ctx, message, request.Body)
 	sender.Stats.Event("forward", string(reply.Outcome))
@@ -86,9 +101,9 @@
 	encoded, err := reply.payload()
 	if err != nil {
 		sender.Log.WithError(err).WithField("request", message.RequestID).Error(logPrefix + "cannot encode the outcome for another host")
-		return links.Payload{Kind: kindForwarded} // can't be decoded: the request may have run
+		return links.Payload{Kind: kindForwarded}, nil // can't be decoded: the request may have run
 	}
-	return encoded
+	return encoded, nil
 }
 
 func (sender *Sender) serve(ctx context.Context, message forwardMessage, body []byte) *forwardReply {
@@ -107,7 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, message.Left)
 	defer cancel()
-	attempt := crash.Attempt{Content: message.Content, Owner: target.Owner, Address: target.Address}
+	attempt := crash.Attempt{Content: message.Content, Service: target.Service, Owner: target.Owner, Address: target.Address}
 	outcome := sender.sendDirectly(ctx, path, &pool.Request{
 		Method: message.Method, Target: message.Target, Host: message.Host, Header: message.Header, Body: body,
 		OnLateLoss: func() { sender.Crashes.Lost(attempt) },
--- a/internal/dispatch/detour/message.go
+++ b/internal/dispatch/detour/message.go
@@ -14,6 +14,8 @@
 const (
 	kindForward   = "forward"
 	kindForwarded = "forwarded"
+	kindProbe     = "probe"
+	kindProbed    = "probed"
 	// kindUnknown is the reply of a host that can't handle a request, and has not.
 	kindUnknown = "unknown"
 )
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -457,7 +457,7 @@
 // reportLoss reports that the upstream cut the request's connection.
 func (exchange *exchange) reportLoss(permit *permit.Permit) {
 	exchange.relay.Crashes.Lost(crash.Attempt{
-		Content: exchange.content, Owner: permit.Target.Owner, Address: permit.Target.Address,
+		Content: exchange.content, Service: exchange.service, Owner: permit.Target.Owner, Address: permit.Target.Address,
 	})
 }
 
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -178,6 +178,7 @@
 		Paths:   &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
 		Crashes: entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
 	}
+	entry.crashes.PortClosed = entry.sender.PortClosed
 	noDatagram := func([]byte) []byte { return nil }
 	entry.server, err = links.Listen(settings.Peer.Address, secret, entry.serveHost, noDatagram, entry.options.Log)
 	if err != nil {
