--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -32,7 +32,7 @@
 
 // fleet is a set of hosts that send to one upstream.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	clock   *clockwork.FakeClock
 	target  admit.Target
 	runs    atomic.Int64
@@ -51,7 +51,7 @@
 	calls         atomic.Int64
 }
 
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t testing.TB, size int) *fleet {
 	t.Helper()
 	fleet := &fleet{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
 	fleet.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -133,8 +133,8 @@
 }
 
 // send sends a request through the first host.
-func (fleet *fleet) send() Outcome {
-	ctx, cancel := context.WithTimeout(fleet.t.Context(), longTimeout)
+func (fleet *fleet) send(parent context.Context) Outcome {
+	ctx, cancel := context.WithTimeout(parent, longTimeout)
 	defer cancel()
 	return fleet.hosts[0].Send(ctx, fleet.target, Request{
 		ID: "1", Content: "content", Deadline: fleet.clock.Now().Add(longTimeout),
@@ -181,7 +181,7 @@
 			if testcase.size > 1 {
 				fleet.hosts[1].before, fleet.hosts[1].after = testcase.before, testcase.after
 			}
-			got := fleet.send()
+			got := fleet.send(t.Context())
 			is.Equal(got.Helper, testcase.want.helper)
 			is.Equal(got.Failure == nil, testcase.want.answered)
 			is.Equal(got.Failure != nil && got.Failure.MayHaveRun(), testcase.want.mayHaveRun)
@@ -202,18 +202,18 @@
 	fleet := newFleet(t, 3)
 	fleet.hosts[0].cut.Store(true)
 	fleet.hosts[1].cut.Store(true)
-	is.Equal(fleet.send().Helper, "c")
-	is.Equal(fleet.send().Helper, "c")
+	is.Equal(fleet.send(t.Context()).Helper, "c")
+	is.Equal(fleet.send(t.Context()).Helper, "c")
 	is.Equal(fleet.hosts[1].calls.Load(), int64(1))
 	fleet.hosts[1].cut.Store(false)
 	fleet.clock.Advance(helperBackoff)
-	is.Equal(fleet.send().Helper, "c") // the other host has not found out yet
+	is.Equal(fleet.send(t.Context()).Helper, "c") // the other host has not found out yet
 	for !fleet.hosts[1].Paths.Usable(pathTo(fleet.target)) {
 		fleet.clock.Advance(helperBackoff)
-		fleet.send()
+		fleet.send(t.Context())
 	}
 	fleet.clock.Advance(helperBackoff)
-	is.Equal(fleet.send().Helper, "b")
+	is.Equal(fleet.send(t.Context()).Helper, "b")
 }
 
 // TestForwardedWorkIsBounded guards against requests of other hosts that use up a host on
@@ -225,7 +225,7 @@
 	fleet.release = make(chan struct{})
 	outcomes := make(chan Outcome, 2*minForwarding)
 	for range 2 * minForwarding {
-		go func() { outcomes <- fleet.send() }()
+		go func() { outcomes <- fleet.send(t.Context()) }()
 	}
 	for range minForwarding { // these are refused at once, while the others wait
 		got := <-outcomes
@@ -247,7 +247,7 @@
 	sender := fleet.hosts[0].Sender
 	fleet.hosts[0].cut.Store(true)
 	fleet.hosts[1].before = errors.Join(links.ErrNotSent, errors.New("no route"))
-	is.True(fleet.send().Failure != nil)
+	is.True(fleet.send(t.Context()).Failure != nil)
 	is.True(!sender.Blocked())
 	for number := range 3 {
 		target := fleet.target
@@ -255,11 +255,11 @@
 		sender.Paths.RecordUnreached(pathTo(target), "refused")
 	}
 	fleet.clock.Advance(helperBackoff)
-	is.True(fleet.send().Failure != nil)
+	is.True(fleet.send(t.Context()).Failure != nil)
 	is.True(sender.Blocked())
 	fleet.hosts[1].before = nil
 	fleet.clock.Advance(helperBackoff)
-	is.Equal(fleet.send().Helper, "b")
+	is.Equal(fleet.send(t.Context()).Helper, "b")
 	is.True(!sender.Blocked())
 }
 
--- a/internal/entry/relay/cut_test.go
+++ b/internal/entry/relay/cut_test.go
@@ -70,6 +70,8 @@
 	fleet *cutFleet
 	entry state.Entry
 	relay *Relay
+	// exclusive schedules the requests to the upstreams whose primary the host is.
+	exclusive *admit.Scheduler
 	// cuts holds how the host is cut off from each upstream.
 	cuts [cutUpstreams]atomic.Int32
 	// lost is set while other hosts don't reach this one.
@@ -151,7 +153,7 @@
 	relay.Permits = permit.NewClient(cuthost.entry, relay.Scheduler, primary, cuthost, clock, relay.Log)
 	relay.Sender.Self, relay.Sender.Others, relay.Sender.Caller = cuthost.entry.Name, relay.Permits.Others, cuthost
 	relay.Sender.Crashes = relay.Crashes
-	cuthost.relay = relay
+	cuthost.relay, cuthost.exclusive = relay, exclusive
 	cuthost.serve = func(ctx context.Context, request links.Payload) links.Payload {
 		if detour.Handles(request) {
 			return relay.Sender.Serve(ctx, request)
@@ -334,6 +336,15 @@
 	return hosts, others
 }
 
+// restartUpstream replaces the process of an upstream in what all hosts know.
+func (cutfleet *cutFleet) restartUpstream(number int) {
+	cutfleet.targets[number].Owner.Born++
+	for _, host := range cutfleet.hosts {
+		host.relay.Scheduler.Update("jobs", cutfleet.targets, cutfleet.table)
+		host.exclusive.Update("jobs", cutfleet.targets, cutfleet.table)
+	}
+}
+
 // TestHostsWithoutPathsServeCallers guards against hosts that refuse their callers, or make
 // other hosts refuse theirs, because their own paths to all upstreams are cut while the
 // others reach them.
@@ -344,15 +355,23 @@
 		name  string
 		how   cut
 		isCut func(host *cutHost) bool
+		// event, if set, happens while the hosts are cut off.
+		event func(fleet *cutFleet)
 	}{
-		{"a third of the hosts, connections hang", cutHangs, third},
-		{"a third of the hosts, answers are lost", cutOneWay, third},
-		{"a third of the hosts, connections are reset", cutResets, third},
-		{"a third of the hosts, new connections are refused", cutRefuses, third},
-		{"a data centre, connections hang", cutHangs, dataCentre},
-		{"a data centre, answers are lost", cutOneWay, dataCentre},
-		{"a data centre, connections are reset", cutResets, dataCentre},
-		{"a data centre, new connections are refused", cutRefuses, dataCentre},
+		{"a third of the hosts, connections hang", cutHangs, third, nil},
+		{"a third of the hosts, answers are lost", cutOneWay, third, nil},
+		{"a third of the hosts, connections are reset", cutResets, third, nil},
+		{"a third of the hosts, new connections are refused", cutRefuses, third, nil},
+		{"a data centre, connections hang", cutHangs, dataCentre, nil},
+		{"a data centre, answers are lost", cutOneWay, dataCentre, nil},
+		{"a data centre, connections are reset", cutResets, dataCentre, nil},
+		{"a data centre, new connections are refused", cutRefuses, dataCentre, nil},
+		{"other hosts lose a host that sends for them", cutHangs, dataCentre, func(fleet *cutFleet) { fleet.hosts[1].lost.Store(true) }},
+		{"upstreams restart", cutHangs, third, func(fleet *cutFleet) {
+			for number := range cutUpstreams / 2 {
+				fleet.restartUpstream(number)
+			}
+		}},
 	}
 	for _, testcase := range cases {
 		t.Run(testcase.name, func(t *testing.T) {
@@ -370,6 +389,9 @@
 				}
 			}
 			fleet.sendAll("contact", cutWarmUp, testcase.isCut)
+			if testcase.event != nil {
+				testcase.event(fleet)
+			}
 			hosts, others := fleet.sendAll("cut", cutRequests, testcase.isCut)
 			t.Logf("served %d of %d at the hosts that are cut off, %d of %d elsewhere", hosts.served, hosts.sent, others.served, others.sent)
 			is.Equal(others.served, others.sent)
