Take an open link to another host for open

Cause: the task that opens the link cancels the context after it reports the open link, and the waiting side then chooses among two events at random.

The context now ends when the wait does.

--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -301,3 +301,13 @@
 		})
 	}
 }
+
+// TestOpenLinkIsNotTakenForLost guards against a host that is not asked for a second
+// because the wait for its link ended at the moment at which the link was open.
+func TestOpenLinkIsNotTakenForLost(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	for range 20000 {
+		is.NoErr(fleet.hosts[0].open(t.Context(), state.Entry{Name: "b", Peer: peer(1)}))
+	}
+}
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -51,11 +51,9 @@
 // respond for seconds.
 func (sender *Sender) open(ctx context.Context, other state.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
 	opened := make(chan error, 1)
-	go func() {
-		defer cancel()
-		opened <- sender.Caller.Open(ctx, other.Peer)
-	}()
+	go func() { opened <- sender.Caller.Open(ctx, other.Peer) }()
 	select {
 	case err := <-opened:
 		if err != nil {
