--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -88,6 +88,10 @@
 	// RateLimit is the number of requests per second that the upstream takes from all
 	// hosts together, 0 if it names none.
 	RateLimit float64
+	// Rest is how long the upstream wants no requests from this host, 0 if it does not say.
+	Rest time.Duration
+	// Leaving is set if the upstream is about to stop.
+	Leaving bool
 }
 
 // ForwardInfo holds the metadata that is sent to the upstream with a request.
