Send nothing from a host that an upstream told to rest

Cause: nobody read the rest (hypothesis 1), and reading alone would not have helped: permits are granted by primaries that were not told (hypothesis 2). Ruled out by a trial: that other hosts should heed it too.

The host's scheduler keeps the rest of each upstream. It is checked where a request is sent, so that it binds permits in flight, retries and requests that are sent for other hosts. Requests without a key name the resting upstreams to the primary and go elsewhere; one with a key waits, without a place in a queue, if the rest ends in time, else it is refused at once with the true time, spread over half a second. A host that got the answer through another one keeps the rest as well.

--- a/internal/dispatch/admit/job.go
+++ b/internal/dispatch/admit/job.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/control/spans"
@@ -28,6 +29,9 @@
 	// ReasonNoPrimary means that the upstream names a rate limit, and no host that admits
 	// requests to it was reached.
 	ReasonNoPrimary Reason = "noPrimary"
+	// ReasonResting means that the upstream wants no requests from this host for a time
+	// that ends too late.
+	ReasonResting Reason = "resting"
 	// ReasonCallerLeft means that the caller canceled the request.
 	ReasonCallerLeft Reason = "callerLeft"
 )
@@ -48,11 +52,13 @@
 	Owner spans.Owner
 	// DataCentre, if set, restricts the choice to the upstreams of one data centre.
 	DataCentre string
+	// Avoid lists the upstreams that a request without a key must not go to.
+	Avoid []spans.Owner
 }
 
 // eligible reports whether a request without a key may go to the target.
 func (job Job) eligible(target Target) bool {
-	return !target.Draining && (job.DataCentre == "" || job.DataCentre == target.DataCentre)
+	return !target.Draining && (job.DataCentre == "" || job.DataCentre == target.DataCentre) && !slices.Contains(job.Avoid, target.Owner)
 }
 
 // Refusal states why a request got no upstream and when the caller may retry.
--- a/internal/dispatch/admit/upstream.go
+++ b/internal/dispatch/admit/upstream.go
@@ -123,6 +123,8 @@
 	errorRate   float64
 	lastErrorAt time.Time
 	limit       rateLimit
+	// restUntil is until when the upstream wants no requests from this host.
+	restUntil time.Time
 }
 
 func newUpstream(target Target, now time.Time, exclusive bool) *upstream {
@@ -172,7 +174,7 @@
 // available reports whether the upstream may get a request now. It refills the
 // token bucket of a cold upstream; begin takes the token.
 func (upstream *upstream) available(now time.Time) bool {
-	if now.Before(upstream.retryAt) || float64(upstream.running) >= max(1, upstream.window) || !upstream.limit.allows(now) {
+	if now.Before(upstream.retryAt) || upstream.restLeft(now) > 0 || float64(upstream.running) >= max(1, upstream.window) || !upstream.limit.allows(now) {
 		return false
 	}
 	if !upstream.target.Cold {
--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,6 @@
 	"github.com/zeebo/errs"
 
 	"damaskcrank.example/damaskcrank/internal/base/stats"
-	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 	"damaskcrank.example/damaskcrank/internal/dispatch/crash"
@@ -71,6 +71,12 @@
 	AtFault bool
 }
 
+// Notice is what an upstream says about itself in an answer.
+type Notice struct {
+	// Rest is how long it wants no requests from this host, 0 if it does not say.
+	Rest time.Duration
+}
+
 // helperPath is a path of another host, or all of its paths if the path is empty.
 type helperPath struct {
 	helper string
@@ -96,8 +102,10 @@
 	// nil, there are none.
 	Others func(target admit.Target, first string) []state.Entry
 	Caller Caller
-	// Target returns a known upstream of a service.
-	Target func(service string, owner spans.Owner) (admit.Target, bool)
+	// Scheduler knows the upstreams, and what they asked of this host.
+	Scheduler *admit.Scheduler
+	// ParseNotice returns what an upstream says in the header of an answer.
+	ParseNotice func(status int, header http.Header) Notice
 	// Crashes learns which requests of other hosts lost their upstream.
 	Crashes *crash.Detector
 	Clock   clockwork.Clock
@@ -118,10 +126,13 @@
 func (sender *Sender) Send(ctx context.Context, target admit.Target, request Request) Outcome {
 	sender.sending.Add(1)
 	defer sender.sending.Add(-1)
+	if err := sender.check(target); err != nil {
+		return Outcome{Failure: &pool.SendError{Failure: pool.FailureNotSent, Cause: err}}
+	}
 	path := pathTo(target)
 	outcome := Outcome{Failure: &pool.SendError{Failure: pool.FailureNotSent, Cause: errBroken}}
 	if sender.Paths.Usable(path) {
-		outcome = sender.sendDirectly(ctx, path, request.Prepare())
+		outcome = sender.sendDirectly(ctx, target, request.Prepare())
 	} else {
 		sender.tryPath(path)
 	}
@@ -131,8 +142,32 @@
 	return sender.sendThroughOther(ctx, target, request, outcome)
 }
 
-// errBroken is the cause of requests that are not sent because the path is broken.
-var errBroken = Error.New("the path to the upstream is broken")
+var (
+	// errBroken is the cause of requests that are not sent because the path is broken.
+	errBroken = Error.New("the path to the upstream is broken")
+	// errResting is the cause of requests that are not sent because of a rest that began
+	// after their permit was granted.
+	errResting = Error.New("the upstream wants no requests from this host now")
+)
+
+// check returns an error if this host must not send to the upstream, on any way.
+func (sender *Sender) check(target admit.Target) error {
+	if sender.Scheduler.RestLeft(target.Service, target.Owner) > 0 {
+		return errResting
+	}
+	return nil
+}
+
+// recordNotice records what an upstream says in an answer that came on this host's path or
+// through another host.
+func (sender *Sender) recordNotice(target admit.Target, response *pool.Response) {
+	notice := sender.ParseNotice(response.Status, response.Header)
+	if notice.Rest > 0 && sender.Scheduler.RecordRest(target.Service, target.Owner, notice.Rest) {
+		sender.Stats.Event("notice", "rest")
+		sender.Log.WithField("upstream", target.Owner.ID).WithField("service", target.Service).WithField("rest", notice.Rest.String()).
+			Info(logPrefix + "upstream wants no requests from this host for a time")
+	}
+}
 
 func pathTo(target admit.Target) paths.Path {
 	return paths.Path{Owner: target.Owner, Address: target.Address}
@@ -141,11 +176,13 @@
 // sendDirectly sends a request on this host's own path and records what that tells about
 // the path. Whether the upstream is at fault for a request that was not sent is left to
 // the caller.
-func (sender *Sender) sendDirectly(ctx context.Context, path paths.Path, request *pool.Request) Outcome {
+func (sender *Sender) sendDirectly(ctx context.Context, target admit.Target, request *pool.Request) Outcome {
+	path := pathTo(target)
 	response, failure := sender.Pool.Send(ctx, path.Address, request)
 	switch {
 	case failure == nil:
 		sender.Paths.RecordReached(path)
+		sender.recordNotice(target, response)
 		return Outcome{Response: response}
 	case !failure.MayHaveRun():
 		if ctx.Err() == nil {
@@ -212,7 +249,9 @@
 		answered = true
 		switch reply.Outcome {
 		case forwardAnswered:
-			return sender.recordDetour(Outcome{Helper: other.Name, Response: reply.response()})
+			response := reply.response()
+			sender.recordNotice(target, response)
+			return sender.recordDetour(Outcome{Helper: other.Name, Response: response})
 		case forwardFailed:
 			return sender.recordDetour(Outcome{Helper: other.Name, Failure: reply.failure(), AtFault: reply.AtFault})
 		case forwardUnreached:
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -38,7 +39,9 @@
 	runs    atomic.Int64
 	hosts   []*host
 	release chan struct{}
-	server  *httptest.Server
+	// rest is what the upstream says of its rest in its answers.
+	rest   string
+	server *httptest.Server
 }
 
 // host is a host whose path to the upstream may be cut. Others that call it get the error
@@ -60,6 +63,7 @@
 			<-fleet.release
 		}
 		writer.Header().Set("Id", request.Header.Get("Id"))
+		writer.Header().Set("Rest", fleet.rest)
 		_, _ = writer.Write([]byte("answer"))
 	}))
 	t.Cleanup(fleet.server.Close)
@@ -86,15 +90,20 @@
 				return dialer.DialContext(ctx, "tcp", address.String())
 			},
 		},
-		Others: func(admit.Target, string) []state.Entry { return fleet.others(number) },
-		Caller: fleet,
-		Target: func(string, spans.Owner) (admit.Target, bool) { return fleet.target, true },
+		Others:    func(admit.Target, string) []state.Entry { return fleet.others(number) },
+		Caller:    fleet,
+		Scheduler: admit.NewScheduler("here", fleet.clock, 1),
+		ParseNotice: func(_ int, header http.Header) Notice {
+			seconds, _ := strconv.Atoi(header.Get("Rest"))
+			return Notice{Rest: time.Duration(seconds) * time.Second}
+		},
 		Crashes: &crash.Detector{
 			Clock: fleet.clock, Log: logger, Stats: set,
 		},
 		Clock: fleet.clock, Log: logger, Stats: set,
 	}
 	host.Crashes.PortClosed = host.PortClosed
+	host.Scheduler.Update(fleet.target.Service, []admit.Target{fleet.target}, spans.Table{})
 	fleet.t.Cleanup(host.Pool.Close)
 	return host
 }
@@ -295,7 +304,7 @@
 				fleet.server.Close()
 			}
 			detector := fleet.hosts[0].Crashes
-			detector.Lost(crash.Attempt{Content: "content", Owner: fleet.target.Owner, Address: fleet.target.Address})
+			detector.Lost(crash.Attempt{Content: "content", Service: fleet.target.Service, Owner: fleet.target.Owner, Address: fleet.target.Address})
 			detector.Wait()
 			is.Equal(detector.Verdict("content").Ends, testcase.ends)
 		})
@@ -311,3 +320,35 @@
 		is.NoErr(fleet.hosts[0].open(t.Context(), state.Entry{Name: "b", Peer: peer(1)}))
 	}
 }
+
+// TestRestBindsAllWays guards against requests that reach an upstream in its rest through
+// another host, and against hosts that send for others to an upstream that wants nothing
+// from them.
+func TestRestBindsAllWays(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	fleet.hosts[0].cut.Store(true)
+	fleet.hosts[1].Scheduler.RecordRest(fleet.target.Service, fleet.target.Owner, time.Second)
+	is.Equal(fleet.send(t.Context()).Helper, "c")
+	fleet.hosts[0].Scheduler.RecordRest(fleet.target.Service, fleet.target.Owner, time.Second)
+	got := fleet.send(t.Context())
+	is.True(!got.Failure.MayHaveRun())
+	is.Equal(got.Failure.Cause, errResting)
+	is.True(!got.AtFault)
+	is.Equal(fleet.runs.Load(), int64(1))
+	fleet.clock.Advance(time.Second)
+	is.True(fleet.send(t.Context()).Failure == nil)
+}
+
+// TestRestThatAnotherHostPassesOn guards against a rest that is known only to the host on
+// whose path the answer came.
+func TestRestThatAnotherHostPassesOn(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.hosts[0].cut.Store(true)
+	fleet.rest = "3"
+	is.True(fleet.send(t.Context()).Response != nil)
+	for _, host := range fleet.hosts {
+		is.Equal(host.Scheduler.RestLeft(fleet.target.Service, fleet.target.Owner), 3*time.Second)
+	}
+}
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -109,8 +109,8 @@
 	if sender.forwarding.Add(1) > max(minForwarding, sender.sending.Load()) {
 		return &forwardReply{Outcome: forwardDeclined}
 	}
-	target, known := sender.Target(message.Service, message.owner())
-	if !known {
+	target, known := sender.Scheduler.Target(message.Service, message.owner())
+	if !known || sender.check(target) != nil {
 		return &forwardReply{Outcome: forwardDeclined}
 	}
 	path := pathTo(target)
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, message.Left)
 	defer cancel()
 	attempt := crash.Attempt{Content: message.Content, Service: target.Service, Owner: target.Owner, Address: target.Address}
-	outcome := sender.sendDirectly(ctx, path, &pool.Request{
+	outcome := sender.sendDirectly(ctx, target, &pool.Request{
 		Method: message.Method, Target: message.Target, Host: message.Host, Header: message.Header, Body: body,
 		OnLateLoss: func() { sender.Crashes.Lost(attempt) },
 	})
--- a/internal/dispatch/detour/message.go
+++ b/internal/dispatch/detour/message.go
@@ -58,8 +58,8 @@
 	// forwardIsolated that it reaches no upstream. The request was not sent.
 	forwardUnreached forwardOutcome = "unreached"
 	forwardIsolated  forwardOutcome = "isolated"
-	// forwardDeclined means that the helper has no room for the request or does not know
-	// the upstream. The request was not sent.
+	// forwardDeclined means that the helper has no room for the request, or does not know
+	// the upstream or must not send to it. The request was not sent.
 	forwardDeclined forwardOutcome = "declined"
 )
 
--- a/internal/dispatch/detour/probe.go
+++ b/internal/dispatch/detour/probe.go
@@ -49,7 +49,7 @@
 // connection may be refused on this host's path only, so that other hosts have to find the
 // same, if there are any.
 func (sender *Sender) PortClosed(ctx context.Context, attempt crash.Attempt) bool {
-	target, known := sender.Target(attempt.Service, attempt.Owner)
+	target, known := sender.Scheduler.Target(attempt.Service, attempt.Owner)
 	if !known {
 		target = admit.Target{Service: attempt.Service, Owner: attempt.Owner, Address: attempt.Address}
 	}
@@ -121,7 +121,7 @@
 		return links.Payload{}, Error.New("decode a probe: %w", err)
 	}
 	port := portUnknown
-	target, known := sender.Target(message.Service, spans.Owner{ID: message.UpstreamID, Born: message.Born})
+	target, known := sender.Scheduler.Target(message.Service, spans.Owner{ID: message.UpstreamID, Born: message.Born})
 	if known && !sender.Paths.Isolated() {
 		port = sender.probe(ctx, target)
 	}
--- a/internal/dispatch/permit/message.go
+++ b/internal/dispatch/permit/message.go
@@ -43,6 +43,8 @@
 	// LimitAge how long ago the owner named it.
 	Limit    float64
 	LimitAge time.Duration
+	// Avoid lists the upstreams that a request without a key must not go to.
+	Avoid []spans.Owner
 }
 
 func (askmessage askMessage) owner() spans.Owner {
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -262,6 +262,13 @@
 		if refusal != nil {
 			return nil, refusal
 		}
+		waited, refusal := client.local.AwaitRest(ctx, job, changed)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if waited {
+			continue
+		}
 		entry, found := client.primary(target.Owner.ID, target.DataCentre, late...)
 		if !found {
 			return client.acquireLocal(ctx, client.local, job, "host")
@@ -309,6 +316,10 @@
 // permit without a wait. If there is none, the request is queued in the first data
 // centre that accepts it, the host's own before the others.
 func (client *Client) acquireUnkeyed(ctx context.Context, job admit.Job) (*Permit, *admit.Refusal) {
+	if _, refusal := client.local.AwaitRest(ctx, job, nil); refusal != nil {
+		return nil, refusal
+	}
+	job.Avoid = client.local.Resting(job.Service)
 	dataCentres := client.local.DataCentres(job.Service)
 	slices.SortFunc(dataCentres, func(left, right string) int { return cmp.Compare(client.rank(left), client.rank(right)) })
 	for position, dataCentre := range dataCentres {
@@ -375,7 +386,7 @@
 	now := client.clock.Now()
 	limit, namedAt := client.local.Limit(job.Service, job.Owner)
 	request, err := payload(kindAsk, askMessage{
-		Limit: limit, LimitAge: now.Sub(namedAt).Round(time.Millisecond),
+		Limit: limit, LimitAge: now.Sub(namedAt).Round(time.Millisecond), Avoid: job.Avoid,
 		Service: job.Service, ID: job.Owner.ID, Born: job.Owner.Born, Place: job.DataCentre, Priority: job.Priority, Bears: maxWait,
 		Left: job.Deadline.Sub(now).Round(time.Millisecond), Goal: job.Goal.Sub(now).Round(time.Millisecond),
 	})
--- a/internal/dispatch/permit/primary.go
+++ b/internal/dispatch/permit/primary.go
@@ -99,7 +99,7 @@
 		primary.scheduler.AdoptLimit(message.Service, message.owner(), message.Limit, now.Add(-message.LimitAge))
 	}
 	queuedjob, refusal := primary.scheduler.Enqueue(admit.Job{
-		Service: message.Service, Keyed: message.ID != "", Owner: message.owner(), DataCentre: message.Place, Priority: message.Priority,
+		Service: message.Service, Keyed: message.ID != "", Owner: message.owner(), DataCentre: message.Place, Priority: message.Priority, Avoid: message.Avoid,
 		Goal: now.Add(message.Goal), Deadline: deadline,
 	})
 	if refusal != nil {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -114,6 +114,15 @@
 	ParseResponse(status int, header http.Header) ResponseInfo
 }
 
+// ParseNotices returns the function that reads what upstreams say about themselves in
+// their answers.
+func ParseNotices(protocol Protocol) func(status int, header http.Header) detour.Notice {
+	return func(status int, header http.Header) detour.Notice {
+		responseinfo := protocol.ParseResponse(status, header)
+		return detour.Notice{Rest: responseinfo.Rest}
+	}
+}
+
 // ConfigSnapshot is the configuration of a host and the time at which it was last
 // confirmed as current.
 type ConfigSnapshot struct {
@@ -398,6 +407,10 @@
 		return exchange.retry("misplaced", permit)
 	case responseinfo.NotRun:
 		permit.Release(admit.ResultShed, responseinfo.Load)
+		if refused := relay.Scheduler.CheckRest(job); refused != nil {
+			exchange.respondRefusal(refused)
+			return false
+		}
 		return exchange.retry("shed", permit)
 	}
 	permit.Release(classifyStatus(response.Status), responseinfo.Load)
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -133,8 +133,9 @@
 	t.Cleanup(connections.Close)
 	counters := &stats.Set{}
 	sender := &detour.Sender{
-		Pool: connections, Paths: &paths.Table{Clock: clock, Log: logger, Stats: counters}, Target: scheduler.Target,
-		Clock: clock, Log: logger, Stats: counters,
+		Pool: connections, Paths: &paths.Table{Clock: clock, Log: logger, Stats: counters}, Scheduler: scheduler,
+		ParseNotice: ParseNotices(wordProtocol{}),
+		Clock:       clock, Log: logger, Stats: counters,
 	}
 	return &Relay{
 		Protocol: protocol{}, Scheduler: scheduler, Sender: sender, Limiter: &share.Limiter{}, Clock: clock, Log: logger,
--- a/internal/entry/relay/rest_test.go
+++ b/internal/entry/relay/rest_test.go
@@ -33,7 +33,7 @@
 
 // wordProtocol is a protocol in which upstreams ask for rest, or say that they leave, and
 // requests have keys.
-type wordProtocol struct{ protocol }
+type wordProtocol struct{}
 
 // ParseRequest implements Protocol.
 func (wordProtocol) ParseRequest(header http.Header) RequestInfo {
@@ -187,6 +187,12 @@
 	fleet.resting["up-0"], fleet.resting["up-1"] = true, true
 	for number := range int(10 * time.Second / restStep) {
 		now, target := fleet.clock.Now(), number%wordUpstreams
+		if told := fleet.toldAt[fmt.Sprint("up-", target)]; len(told) > 0 {
+			if left := told[len(told)-1].Add(restTime).Sub(now); left > 0 && left < wordTimeout {
+				fleet.clock.Advance(restStep)
+				continue // the request would wait, and nothing advances the clock meanwhile
+			}
+		}
 		recorder := fleet.request(number, target)
 		told := fleet.toldAt[fmt.Sprint("up-", target)]
 		if len(told) == 0 {
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -130,7 +130,7 @@
 		Suspects: func() map[string]state.Suspect { return entry.follower.Catalog().Quarantine }, OnReport: entry.hastenPoll,
 		Clock: options.Clock, Log: options.Log, Stats: options.Stats,
 	}
-	if err := entry.openLinks(); err != nil {
+	if err := entry.openLinks(protocol); err != nil {
 		entry.Kill()
 		return nil, err
 	}
@@ -163,7 +163,7 @@
 
 // openLinks opens the links to other entry hosts, over which permits are requested
 // and granted.
-func (entry *Entry) openLinks() error {
+func (entry *Entry) openLinks(protocol relay.Protocol) error {
 	settings, secret := entry.options.Settings, trust.Secret(entry.options.Settings.Peer.Secret)
 	var err error
 	if entry.links, err = links.NewClient(secret, func(netip.AddrPort, []byte) {}); err != nil {
@@ -174,9 +174,10 @@
 	entry.permits = permit.NewClient(self, entry.scheduler, entry.primary, entry.links, entry.options.Clock, entry.options.Log)
 	entry.primaryScheduler.LimitShare = entry.permits.LimitShare
 	entry.sender = &detour.Sender{
-		Self: settings.Host.Name, Pool: entry.pool, Others: entry.permits.Others, Caller: entry.links, Target: entry.scheduler.Target,
-		Paths:   &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
-		Crashes: entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
+		Self: settings.Host.Name, Pool: entry.pool, Others: entry.permits.Others, Caller: entry.links, Scheduler: entry.scheduler,
+		ParseNotice: relay.ParseNotices(protocol),
+		Paths:       &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
+		Crashes:     entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
 	}
 	entry.crashes.PortClosed = entry.sender.PortClosed
 	noDatagram := func([]byte) []byte { return nil }
