Heed upstreams that say in their answers that they leave

Cause: leaving was heard from heartbeats and deregistrations alone, that is by the control leader, and by the hosts through the catalog. Ruled out: taking it from the catalog sooner, which a host that is cut off does not get.

The host that passes such an answer on marks the upstream's process as draining in its schedulers, for good, whatever the catalog says later; the next process under its ID or address is not meant. Requests without a key name it to primaries that may not have heard, so that these are not suspected for granting it. It is checked again where a request is sent, also for other hosts. The next poll, at once, tells the leader, which commits it (MarkDraining), so that its keys move and all hosts hear of it.

TestLeavingUpstreamGetsNothing failed before; it now sends ten requests a second, since those whose key has no owner wait for one.

--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -225,6 +225,7 @@
 	kindEvacuateDataCentre:  decodeAs[EvacuateDataCentre],
 	kindRegisterInstance:    decodeAs[RegisterInstance],
 	kindMarkSilent:          decodeAs[MarkSilent],
+	kindMarkDraining:        decodeAs[MarkDraining],
 	kindRemoveInstances:     decodeAs[RemoveInstances],
 	kindChangeSpans:         decodeAs[ChangeSpans],
 	kindRegisterEntry:       decodeAs[RegisterEntry],
--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -66,6 +66,10 @@
 // nothing else, so that it can't overwrite a concurrently committed update.
 type MarkSilent struct{ Owners []spans.Owner }
 
+// MarkDraining marks upstreams that told an entry host that they leave. Like MarkSilent it
+// changes nothing else.
+type MarkDraining struct{ Owners []spans.Owner }
+
 // RemoveInstances removes upstreams that are gone.
 type RemoveInstances struct{ Owners []spans.Owner }
 
@@ -88,6 +92,7 @@
 	kindEvacuateDataCentre  commandKind = "evacuateDataCentre"
 	kindRegisterInstance    commandKind = "seeInstance"
 	kindMarkSilent          commandKind = "markSilent"
+	kindMarkDraining        commandKind = "markDraining"
 	kindRemoveInstances     commandKind = "forgetInstances"
 	kindChangeSpans         commandKind = "changeSpans"
 	kindRegisterEntry       commandKind = "seeEntry"
@@ -99,6 +104,7 @@
 func (EvacuateDataCentre) kind() commandKind  { return kindEvacuateDataCentre }
 func (RegisterInstance) kind() commandKind    { return kindRegisterInstance }
 func (MarkSilent) kind() commandKind          { return kindMarkSilent }
+func (MarkDraining) kind() commandKind        { return kindMarkDraining }
 func (RemoveInstances) kind() commandKind     { return kindRemoveInstances }
 func (ChangeSpans) kind() commandKind         { return kindChangeSpans }
 func (RegisterEntry) kind() commandKind       { return kindRegisterEntry }
@@ -123,7 +129,9 @@
 	case RegisterInstance:
 		catalog.registerInstance(command.Instance)
 	case MarkSilent:
-		catalog.markSilent(command)
+		catalog.mark(command.Owners, func(instance *Instance) { instance.Silent = true })
+	case MarkDraining:
+		catalog.mark(command.Owners, func(instance *Instance) { instance.Draining = true })
 	case RemoveInstances:
 		for _, owner := range command.Owners {
 			if catalog.Instances[owner.ID].Born == owner.Born {
@@ -185,11 +193,12 @@
 	return result
 }
 
-func (catalog *Catalog) markSilent(command MarkSilent) {
+// mark changes instances that are still the given processes.
+func (catalog *Catalog) mark(owners []spans.Owner, change func(instance *Instance)) {
 	catalog.Instances = maps.Clone(catalog.Instances)
-	for _, owner := range command.Owners {
+	for _, owner := range owners {
 		if instance, ok := catalog.Instances[owner.ID]; ok && instance.Born == owner.Born {
-			instance.Silent = true
+			change(&instance)
 			catalog.Instances[owner.ID] = instance
 		}
 	}
@@ -254,3 +263,9 @@
 	_, evacuated := catalog.Evacuated[instance.DataCentre]
 	return !instance.Draining && !evacuated
 }
+
+// IsActive reports whether a process of an upstream is registered and does not drain.
+func (catalog *Catalog) IsActive(owner spans.Owner) bool {
+	instance, present := catalog.Instances[owner.ID]
+	return present && instance.Born == owner.Born && !instance.Draining
+}
--- a/internal/control/state/direct_test.go
+++ b/internal/control/state/direct_test.go
@@ -50,6 +50,15 @@
 				Draining: true, Silent: true,
 			}},
 		},
+		{
+			"a process that leaves stays draining", []Command{RegisterInstance{first}, MarkDraining{[]spans.Owner{first.Owner()}}, RegisterInstance{first}},
+			map[string]Instance{"one": draining},
+		},
+		{
+			"a process that leaves is not the next one under its ID",
+			[]Command{RegisterInstance{restarted}, MarkDraining{[]spans.Owner{first.Owner()}}},
+			map[string]Instance{"one": restarted},
+		},
 		{
 			"a new incarnation replaces the old one", []Command{RegisterInstance{draining}, RegisterInstance{restarted}},
 			map[string]Instance{"one": restarted},
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/rates/share"
 )
@@ -25,6 +26,9 @@
 	// Suspects are the changes to suspect requests that the catalog of the entry host
 	// does not show. Their times are unset.
 	Suspects state.UpdateSuspects
+	// Leaving are the upstreams that told the entry host that they leave, and that its
+	// catalog does not show as draining.
+	Leaving []spans.Owner
 }
 
 // RequestStats sums up the requests that an entry host sent to an upstream.
@@ -131,6 +135,7 @@
 		}
 	}
 	coordinator.suspects.add(now, coordinator.node.Catalog(), args.Suspects)
+	coordinator.addLeaving(coordinator.node.Catalog(), args.Leaving)
 	return coordinator.allocator.Grant(now, args.Report, hosts, rates), nil
 }
 
--- a/internal/control/steer/steer.go
+++ b/internal/control/steer/steer.go
@@ -98,6 +98,8 @@
 	allocator  share.Allocator
 	balancedAt time.Time
 	suspects   suspectTable
+	// leaving are the upstreams that told entry hosts that they leave, until it is committed.
+	leaving []spans.Owner
 }
 
 // New returns the Coordinator of a control host. Start must be called to run it.
@@ -144,6 +146,7 @@
 	coordinator.entries = map[string]time.Time{}
 	coordinator.removing = map[string]bool{}
 	coordinator.suspects = suspectTable{}
+	coordinator.leaving = nil
 	coordinator.allocator.Reset(coordinator.termStart, term)
 	coordinator.mutex.Unlock()
 	coordinator.holds.reset(term)
@@ -190,7 +193,7 @@
 	return coordinator.node.HoldsLease() && coordinator.node.Status().Term == term
 }
 
-// Tick commits reports about suspect requests, checks for missing heartbeats and
+// Tick commits reports about suspect requests and leaving upstreams, checks for missing heartbeats and
 // updates the placement once.
 func (coordinator *Coordinator) Tick() {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
@@ -200,6 +203,7 @@
 		return
 	}
 	coordinator.updateSuspects(ctx, term)
+	coordinator.updateLeaving(ctx, term)
 	coordinator.checkSilence(ctx, term)
 	for name, service := range coordinator.node.Catalog().View().Services() {
 		if service.Keyed {
--- a/internal/dispatch/admit/rest.go
+++ b/internal/dispatch/admit/rest.go
@@ -44,18 +44,19 @@
 	return max(0, upstream.restUntil.Sub(now))
 }
 
-// Resting returns the upstreams of a service that want no requests from this host.
-func (scheduler *Scheduler) Resting(name string) []spans.Owner {
+// Unwanted returns the upstreams of a service that rest or drain, to which this host sends
+// no requests without a key.
+func (scheduler *Scheduler) Unwanted(name string) []spans.Owner {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	var resting []spans.Owner
+	var unwanted []spans.Owner
 	now := scheduler.clock.Now()
 	for owner, upstream := range scheduler.service(name).upstreams {
-		if upstream.restLeft(now) > 0 {
-			resting = append(resting, owner)
+		if upstream.restLeft(now) > 0 || upstream.target.Draining {
+			unwanted = append(unwanted, owner)
 		}
 	}
-	return resting
+	return unwanted
 }
 
 // CheckRest refuses a request whose upstreams all rest for too long: the owner of its key
--- a/internal/dispatch/admit/scheduler.go
+++ b/internal/dispatch/admit/scheduler.go
@@ -78,8 +78,10 @@
 
 	mutex    sync.Mutex
 	services map[string]*service
-	arrivals uint64
-	random   *rand.Rand
+	// drainDeadlines holds the DrainDeadline of upstreams that said that they leave.
+	drainDeadlines map[spans.Owner]time.Time
+	arrivals       uint64
+	random         *rand.Rand
 }
 
 // NewScheduler returns an empty scheduler for an entry host in the data centre.
@@ -109,6 +111,7 @@
 	state.markUnsettled(before, now)
 	present := map[spans.Owner]*upstream{}
 	for _, target := range targets {
+		target = scheduler.withDrainDeadline(target)
 		current, ok := state.upstreams[target.Owner]
 		if ok {
 			current.setTarget(target, now)
--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -75,6 +75,8 @@
 type Notice struct {
 	// Rest is how long it wants no requests from this host, 0 if it does not say.
 	Rest time.Duration
+	// Leaving is set if it is about to stop.
+	Leaving bool
 }
 
 // helperPath is a path of another host, or all of its paths if the path is empty.
@@ -106,6 +108,10 @@
 	Scheduler *admit.Scheduler
 	// ParseNotice returns what an upstream says in the header of an answer.
 	ParseNotice func(status int, header http.Header) Notice
+	// DrainTime is how long an upstream that leaves gets requests for keys that it owns.
+	DrainTime time.Duration
+	// OnLeaving, if set, is called when an upstream first says that it leaves.
+	OnLeaving func(target admit.Target, drainDeadline time.Time)
 	// Crashes learns which requests of other hosts lost their upstream.
 	Crashes *crash.Detector
 	Clock   clockwork.Clock
@@ -148,6 +154,8 @@
 	// errResting is the cause of requests that are not sent because of a rest that began
 	// after their permit was granted.
 	errResting = Error.New("the upstream wants no requests from this host now")
+	// errDrained is the cause of requests that are not sent because the upstream leaves.
+	errDrained = Error.New("the upstream leaves and gets no more requests")
 )
 
 // check returns an error if this host must not send to the upstream, on any way.
@@ -155,6 +163,10 @@
 	if sender.Scheduler.RestLeft(target.Service, target.Owner) > 0 {
 		return errResting
 	}
+	current, known := sender.Scheduler.Target(target.Service, target.Owner)
+	if known && current.Draining && sender.Clock.Now().After(current.DrainDeadline) {
+		return errDrained
+	}
 	return nil
 }
 
@@ -167,6 +179,19 @@
 		sender.Log.WithField("upstream", target.Owner.ID).WithField("service", target.Service).WithField("rest", notice.Rest.String()).
 			Info(logPrefix + "upstream wants no requests from this host for a time")
 	}
+	if !notice.Leaving {
+		return
+	}
+	deadline := sender.Clock.Now().Add(sender.DrainTime)
+	if !sender.Scheduler.MarkDraining(target.Service, target.Owner, deadline) {
+		return
+	}
+	sender.Stats.Event("notice", "leaving")
+	sender.Log.WithField("upstream", target.Owner.ID).WithField("born", target.Owner.Born).WithField("service", target.Service).
+		Info(logPrefix + "upstream says that it leaves")
+	if sender.OnLeaving != nil {
+		sender.OnLeaving(target, deadline)
+	}
 }
 
 func pathTo(target admit.Target) paths.Path {
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -40,8 +40,10 @@
 	hosts   []*host
 	release chan struct{}
 	// rest is what the upstream says of its rest in its answers.
-	rest   string
-	server *httptest.Server
+	rest string
+	// leaving is set if the upstream says in its answers that it leaves.
+	leaving bool
+	server  *httptest.Server
 }
 
 // host is a host whose path to the upstream may be cut. Others that call it get the error
@@ -64,6 +66,9 @@
 		}
 		writer.Header().Set("Id", request.Header.Get("Id"))
 		writer.Header().Set("Rest", fleet.rest)
+		if fleet.leaving {
+			writer.Header().Set("Leaving", "1")
+		}
 		_, _ = writer.Write([]byte("answer"))
 	}))
 	t.Cleanup(fleet.server.Close)
@@ -95,8 +100,9 @@
 		Scheduler: admit.NewScheduler("here", fleet.clock, 1),
 		ParseNotice: func(_ int, header http.Header) Notice {
 			seconds, _ := strconv.Atoi(header.Get("Rest"))
-			return Notice{Rest: time.Duration(seconds) * time.Second}
+			return Notice{Rest: time.Duration(seconds) * time.Second, Leaving: header.Get("Leaving") != ""}
 		},
+		DrainTime: time.Second,
 		Crashes: &crash.Detector{
 			Clock: fleet.clock, Log: logger, Stats: set,
 		},
@@ -352,3 +358,21 @@
 		is.Equal(host.Scheduler.RestLeft(fleet.target.Service, fleet.target.Owner), 3*time.Second)
 	}
 }
+
+// TestLeavingUpstreamOnAllWays guards against requests that reach an upstream which leaves
+// through another host, and against hosts that send for others to it.
+func TestLeavingUpstreamOnAllWays(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	fleet.hosts[0].cut.Store(true)
+	fleet.leaving = true
+	is.Equal(fleet.send(t.Context()).Helper, "b") // both hear of it
+	fleet.clock.Advance(fleet.hosts[0].DrainTime + time.Millisecond)
+	got := fleet.send(t.Context())
+	is.Equal(got.Failure.Cause, errDrained)
+	is.True(!got.Failure.MayHaveRun())
+	is.Equal(fleet.runs.Load(), int64(1))
+	fleet.hosts[0].Scheduler = admit.NewScheduler("here", fleet.clock, 1) // a host that has not heard of it
+	fleet.hosts[0].Scheduler.Update(fleet.target.Service, []admit.Target{fleet.target}, spans.Table{})
+	is.Equal(fleet.send(t.Context()).Helper, "c")
+}
--- a/internal/dispatch/permit/permit.go
+++ b/internal/dispatch/permit/permit.go
@@ -319,7 +319,7 @@
 	if _, refusal := client.local.AwaitRest(ctx, job, nil); refusal != nil {
 		return nil, refusal
 	}
-	job.Avoid = client.local.Resting(job.Service)
+	job.Avoid = client.local.Unwanted(job.Service)
 	dataCentres := client.local.DataCentres(job.Service)
 	slices.SortFunc(dataCentres, func(left, right string) int { return cmp.Compare(client.rank(left), client.rank(right)) })
 	for position, dataCentre := range dataCentres {
--- a/internal/dispatch/permit/rest_test.go
+++ b/internal/dispatch/permit/rest_test.go
@@ -92,3 +92,27 @@
 	permit, _ := client.Acquire(t.Context(), job)
 	is.Equal(permit.Target.Owner, second.Owner)
 }
+
+// TestPrimaryThatHasNotHeardOfLeavingUpstream guards against primaries that are suspected,
+// with all that waits there, because they grant permits for an upstream that told this host
+// alone that it leaves.
+func TestPrimaryThatHasNotHeardOfLeavingUpstream(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	first, second := fleet.target, fleet.target
+	first.Keyed, second.Keyed, second.Owner.ID = false, false, "other"
+	for position := range fleet.clients {
+		fleet.schedulers[position].Update(serviceName, []admit.Target{first, second}, spans.Table{})
+		fleet.exclusive[position].Update(serviceName, []admit.Target{first, second}, spans.Table{})
+	}
+	for _, client := range fleet.clients {
+		client.local.MarkDraining(serviceName, first.Owner, fleet.clock.Now().Add(time.Second))
+		job := fleet.newJob()
+		job.Keyed = false
+		permit, refusal := client.Acquire(t.Context(), job)
+		is.Equal(refusal, nil)
+		is.Equal(permit.Target.Owner, second.Owner)
+		permit.Release(admit.ResultLeft, nil)
+	}
+	is.Equal(fleet.network.dropped, 0)
+}
--- a/internal/entry/relay/leave_test.go
+++ b/internal/entry/relay/leave_test.go
@@ -12,18 +12,21 @@
 // of an upstream that leaves sends it nothing more.
 const drainBound = 2 * time.Second
 
+// leaveStep is the time between two requests. Those whose key has no owner wait for one.
+const leaveStep = 100 * time.Millisecond
+
 // TestLeavingUpstreamGetsNothing guards against upstreams that say in their answers that
 // they leave and go on getting requests of a host which hears nothing else of that.
 func TestLeavingUpstreamGetsNothing(t *testing.T) {
 	is := is.New(t)
 	fleet := newWordFleet(t)
 	fleet.leaving["up-0"], fleet.leaving["up-3"] = true, true
-	for number := range int(6 * time.Second / restStep) {
-		if number%50 == 0 { // the host hears something else of the upstreams now and then
+	for number := range int(6 * time.Second / leaveStep) {
+		if number%10 == 0 { // the host hears something else of the upstreams now and then
 			fleet.updateUpstreams()
 		}
 		fleet.request(number, number%wordUpstreams)
-		fleet.clock.Advance(restStep)
+		fleet.clock.Advance(leaveStep)
 	}
 	for upstream := range fleet.leaving {
 		is.Equal(len(fleet.toldAt[upstream]), 1)
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -119,7 +119,7 @@
 func ParseNotices(protocol Protocol) func(status int, header http.Header) detour.Notice {
 	return func(status int, header http.Header) detour.Notice {
 		responseinfo := protocol.ParseResponse(status, header)
-		return detour.Notice{Rest: responseinfo.Rest}
+		return detour.Notice{Rest: responseinfo.Rest, Leaving: responseinfo.Leaving}
 	}
 }
 
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -134,8 +134,8 @@
 	counters := &stats.Set{}
 	sender := &detour.Sender{
 		Pool: connections, Paths: &paths.Table{Clock: clock, Log: logger, Stats: counters}, Scheduler: scheduler,
-		ParseNotice: ParseNotices(wordProtocol{}),
-		Clock:       clock, Log: logger, Stats: counters,
+		ParseNotice: ParseNotices(wordProtocol{}), DrainTime: time.Second,
+		Clock: clock, Log: logger, Stats: counters,
 	}
 	return &Relay{
 		Protocol: protocol{}, Scheduler: scheduler, Sender: sender, Limiter: &share.Limiter{}, Clock: clock, Log: logger,
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -13,6 +13,7 @@
 
 	"damaskcrank.example/damaskcrank/internal/control/fetch"
 	"damaskcrank.example/damaskcrank/internal/control/group"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/control/steer"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
@@ -97,7 +98,10 @@
 	unconfirmed []confirmation
 	// requestedKeys lists the keys requested since the last report, by service.
 	requestedKeys map[string][]uint16
-	leaderLost    bool
+	// leaving are the upstreams that told this host that they leave, until the catalog
+	// shows it.
+	leaving    []spans.Owner
+	leaderLost bool
 	// leavingSince is when upstreams began to leave, by ID; knownAddresses are the
 	// addresses of all upstreams. Only the task that applies catalogs uses them.
 	leavingSince   map[string]time.Time
@@ -175,9 +179,9 @@
 	entry.primaryScheduler.LimitShare = entry.permits.LimitShare
 	entry.sender = &detour.Sender{
 		Self: settings.Host.Name, Pool: entry.pool, Others: entry.permits.Others, Caller: entry.links, Scheduler: entry.scheduler,
-		ParseNotice: relay.ParseNotices(protocol),
-		Paths:       &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
-		Crashes:     entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
+		ParseNotice: relay.ParseNotices(protocol), DrainTime: entry.drainTime(), OnLeaving: entry.recordLeaving,
+		Paths:   &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
+		Crashes: entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
 	}
 	entry.crashes.PortClosed = entry.sender.PortClosed
 	noDatagram := func([]byte) []byte { return nil }
@@ -314,7 +318,7 @@
 			Draining: entry.draining.Load(),
 		},
 		Report: entry.limiter.Report(sent, settings.Host.Name), Keys: keys, Work: map[string]steer.RequestStats{},
-		Members: entry.members, Suspects: entry.crashes.Report(),
+		Members: entry.members, Suspects: entry.crashes.Report(), Leaving: entry.takeLeaving(),
 	}
 	for _, scheduler := range []*admit.Scheduler{entry.scheduler, entry.primaryScheduler} {
 		for upstream, requeststats := range scheduler.TakeStats() {
@@ -425,7 +429,7 @@
 			}
 			leaving[instance.ID] = since
 			target.Draining = true
-			target.DrainDeadline = since.Add(time.Duration(entry.options.Settings.Bounds.Drain) / 2)
+			target.DrainDeadline = since.Add(entry.drainTime())
 		}
 		targets[instance.Service] = append(targets[instance.Service], target)
 	}
@@ -447,6 +451,31 @@
 	entry.knownAddresses = present
 }
 
+// drainTime is how long an upstream that leaves gets requests for keys that it owns.
+func (entry *Entry) drainTime() time.Duration {
+	return time.Duration(entry.options.Settings.Bounds.Drain) / 2
+}
+
+// recordLeaving has this host's primary send nothing more to an upstream that said that it
+// leaves, and the next poll report it.
+func (entry *Entry) recordLeaving(target admit.Target, drainDeadline time.Time) {
+	entry.primaryScheduler.MarkDraining(target.Service, target.Owner, drainDeadline)
+	entry.mutex.Lock()
+	entry.leaving = append(entry.leaving, target.Owner)
+	entry.mutex.Unlock()
+	entry.hastenPoll()
+}
+
+// takeLeaving returns the upstreams that told this host that they leave, without those
+// that the catalog shows as draining or gone, which need no report any more.
+func (entry *Entry) takeLeaving() []spans.Owner {
+	catalog := entry.follower.Catalog()
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	entry.leaving = slices.DeleteFunc(entry.leaving, func(owner spans.Owner) bool { return !catalog.IsActive(owner) })
+	return slices.Clone(entry.leaving)
+}
+
 // Done returns a nil channel: an entry host keeps running whatever fails around
 // it.
 func (entry *Entry) Done() <-chan struct{} { return nil }
