Send the beginning of a request first on new connections too

Cause: a connection counted as one that leads somewhere once it was open. The handshake may be answered by something on the way, or by an upstream that has too many connections and resets those beyond. Ruled out: looking at the socket before the write, as the reset comes in answer to it.

Only a connection on which something was heard within 100 ms gets a request in one piece. It costs a round trip on each new connection. TestStalledRequest now breaks a connection that has just answered, as a new one can't stall any more.

--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -31,7 +31,8 @@
 	// dialTimeout bounds the time to open a connection. The kernel repeats a lost SYN only
 	// after a second.
 	dialTimeout = 300 * time.Millisecond
-	// quietTime is how long nothing was received on a connection that may lead nowhere.
+	// quietTime is how long nothing was received on a connection that may lead nowhere. New
+	// connections may be accepted and then reset.
 	quietTime = 100 * time.Millisecond
 	// acknowledgeTimeout bounds the time in which the upstream's kernel acknowledges the
 	// beginning of a request. It covers one retransmission.
@@ -271,30 +272,32 @@
 )
 
 // begin returns a connection on which the upstream can be reached, and the part of the
-// request that is left to send. On a connection that was quiet it has sent a beginning that
-// the upstream's kernel acknowledged, but never the whole request: with an error, the
-// upstream can't have run it.
+// request that is left to send. On a connection that is new or was quiet it has sent a
+// beginning that the upstream's kernel acknowledged, but never the whole request: with an
+// error, the upstream can't have run it.
 func (pool *Pool) begin(ctx context.Context, address netip.AddrPort, encoded []byte) (*conn, []byte, error) {
+	length := min(len(encoded)-1, maxBeginningBytes)
 	for {
 		connection := pool.takeUsable(address)
-		if connection == nil {
-			break
+		isNew := connection == nil
+		if isNew {
+			var err error
+			if connection, err = pool.dial(ctx, address); err != nil {
+				return nil, nil, err
+			}
 		}
 		if pool.Clock.Now().Sub(connection.heardAt) < quietTime {
 			return connection, encoded, nil
 		}
-		length := min(len(encoded)-1, maxBeginningBytes)
 		err := connection.sendBeginning(ctx, encoded[:length])
 		if err == nil {
 			return connection, encoded[length:], nil
 		}
 		connection.reset()
-		if ctx.Err() != nil || errors.Is(err, errUnacknowledged) {
+		if isNew || ctx.Err() != nil || errors.Is(err, errUnacknowledged) {
 			return nil, nil, err
 		}
 	}
-	connection, err := pool.dial(ctx, address)
-	return connection, encoded, err
 }
 
 // sendBeginning sends a part of a request and waits until it is acknowledged.
--- a/internal/dispatch/pool/quiet_test.go
+++ b/internal/dispatch/pool/quiet_test.go
@@ -91,25 +91,54 @@
 	}
 }
 
+// TestNewConnectionIsReset guards against requests that may have run on connections that
+// are accepted and then reset, as by an upstream that has too many of them.
+func TestNewConnectionIsReset(t *testing.T) {
+	is := is.New(t)
+	standin := startStandIn(t, script{}, script{})
+	pool := newPool()
+	pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		var dialer net.Dialer
+		opened, err := dialer.DialContext(ctx, "tcp", address.String())
+		if err != nil {
+			return nil, err
+		}
+		dead := &deadConn{TCPConn: opened.(*net.TCPConn), resets: true}
+		dead.broken.Store(true)
+		return dead, nil
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+	defer cancel()
+	_, failure := pool.Send(ctx, standin.address(), newRequest("1"))
+	is.Equal(failure.Failure, FailureNotSent)
+	requests, conns := standin.count()
+	is.Equal(requests, 0)
+	is.True(conns <= 1)
+}
+
 // TestStalledRequest guards against requests that wait for their deadline on a connection
 // whose path breaks just as they are sent.
 func TestStalledRequest(t *testing.T) {
 	is := is.New(t)
-	standin := startStandIn(t, script{silent: true})
+	standin := startStandIn(t, script{responses: []string{responseText("1", "a")}, silent: true})
 	pool := newPool()
+	pool.Clock = clockwork.NewFakeClock() // the connection is not quiet
+	var dead *deadConn
 	pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		var dialer net.Dialer
 		opened, err := dialer.DialContext(ctx, "tcp", address.String())
 		if err != nil {
 			return nil, err
 		}
-		dead := &deadConn{TCPConn: opened.(*net.TCPConn)}
-		dead.broken.Store(true)
+		dead = &deadConn{TCPConn: opened.(*net.TCPConn)}
 		return dead, nil
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
 	defer cancel()
 	_, failure := pool.Send(ctx, standin.address(), newRequest("1"))
+	is.True(failure == nil)
+	dead.broken.Store(true)
+	_, failure = pool.Send(ctx, standin.address(), newRequest("2"))
 	is.Equal(failure.Failure, FailureUnacknowledged)
 	is.True(failure.MayHaveRun())
 	is.True(ctx.Err() == nil)
