Find out that a host hears nothing though its connections open

Cause: paths were judged by connections and acknowledgements alone; something on the way may give both. Ruled out: taking each request that ends without an answer for a broken path, since an upstream may be slow or frozen for all.

A host to which no upstream has answered for a second, while requests to three of them have none, distrusts all of its paths. Opening a connection does not end that; one request that may run twice is sent on the own path every half to two seconds, with a third of its time, and any answer ends it.

--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -42,6 +42,8 @@
 	// blockedTime is how long a host that found no other one to send for it counts as
 	// blocked.
 	blockedTime = 2 * time.Second
+	// canaryParts is the divisor of the time left that yields the time of a canary.
+	canaryParts = 3
 	// trialTimeout bounds the trial of a path.
 	trialTimeout = time.Second
 )
@@ -51,6 +53,8 @@
 	// ID and Content identify the request and its content in logs.
 	ID      string
 	Content string
+	// Idempotent is set if the request may run twice.
+	Idempotent bool
 	// Deadline is when the response is due.
 	Deadline time.Time
 	// Prepare returns the request as it is sent now: its header states the time left.
@@ -137,9 +141,12 @@
 	}
 	path := pathTo(target)
 	outcome := Outcome{Failure: &pool.SendError{Failure: pool.FailureNotSent, Cause: errBroken}}
-	if sender.Paths.Usable(path) {
+	switch {
+	case sender.Paths.Usable(path):
 		outcome = sender.sendDirectly(ctx, target, request.Prepare())
-	} else {
+	case request.Idempotent && sender.Paths.TakeCanary():
+		outcome = sender.sendCanary(ctx, target, request)
+	default:
 		sender.tryPath(path)
 	}
 	if outcome.Failure == nil || outcome.Failure.MayHaveRun() || ctx.Err() != nil {
@@ -203,6 +210,7 @@
 // the caller.
 func (sender *Sender) sendDirectly(ctx context.Context, target admit.Target, request *pool.Request) Outcome {
 	path := pathTo(target)
+	defer sender.Paths.Begin(path)()
 	response, failure := sender.Pool.Send(ctx, path.Address, request)
 	switch {
 	case failure == nil:
@@ -227,6 +235,15 @@
 	}
 }
 
+// sendCanary sends a request on the path of a host that hears nothing of upstreams. It has a
+// part of its time, so that there is time for another attempt.
+func (sender *Sender) sendCanary(ctx context.Context, target admit.Target, request Request) Outcome {
+	left := request.Deadline.Sub(sender.Clock.Now()) / canaryParts
+	ctx, cancel := context.WithTimeout(ctx, max(left, time.Millisecond))
+	defer cancel()
+	return sender.sendDirectly(ctx, target, request.Prepare())
+}
+
 // tryPath starts a trial of a path that is not used, if one is due.
 func (sender *Sender) tryPath(path paths.Path) {
 	if !sender.Paths.BeginTrial(path) {
--- a/internal/dispatch/paths/paths.go
+++ b/internal/dispatch/paths/paths.go
@@ -1,7 +1,7 @@
 // Package paths keeps what one host knows about its own paths to upstreams. A failure
 // on a path says nothing about the upstream at its end: other hosts may reach it. A host
-// that fails towards several upstreams and reaches none in between distrusts all of its
-// paths. The package uses no network and reads the time only from the clock passed in.
+// that fails towards several upstreams, or hears nothing of any while requests to several
+// are under way, distrusts all of its paths. The package uses no network and reads the time only from the clock passed in.
 package paths
 
 import (
@@ -31,6 +31,9 @@
 	// to be needed the next time, at most maxTrials in a row.
 	flapTime  = 10 * time.Second
 	maxTrials = 4
+	// silenceTime is how long requests to isolationThreshold upstreams have no answer, and
+	// nothing is heard of any upstream, until a host counts as isolated.
+	silenceTime = time.Second
 	// lossThreshold is the number of connections lost in a row that counts against the
 	// upstream.
 	lossThreshold = 2
@@ -56,6 +59,10 @@
 	succeeded, needed int
 	// losses counts the requests in a row that lost their connection.
 	losses int
+	// underWay counts the requests without an answer. waitsSince is when the first one was
+	// sent since the upstream last answered, unless all of them ended soon after.
+	underWay   int
+	waitsSince time.Time
 }
 
 // Table holds the paths of one host. It is safe for concurrent use. Clock, Log and Stats
@@ -70,6 +77,13 @@
 	// unreached are the paths that failed since the host last reached any upstream.
 	unreached map[Path]bool
 	isolated  bool
+	// silent is set if the host is isolated since it hears nothing, although connections
+	// can be opened. Only an answer ends that; nextCanary is when the next request may be
+	// sent to find out.
+	silent         bool
+	heardAt        time.Time
+	nextCanary     time.Time
+	canaryInterval time.Duration
 	// isolationTrial is set while the only trial of an isolated host runs.
 	isolationTrial bool
 }
@@ -78,10 +92,66 @@
 func (table *Table) Usable(path Path) bool {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	table.checkSilence(table.Clock.Now())
 	state := table.states[path]
 	return !table.isolated && (state == nil || !state.broken)
 }
 
+// Begin records that a request is sent on a path, and returns the function that records
+// its end, with or without an answer.
+func (table *Table) Begin(path Path) (end func()) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	state := table.state(path)
+	if state.waitsSince.IsZero() {
+		state.waitsSince = table.Clock.Now()
+	}
+	state.underWay++
+	return func() {
+		table.mutex.Lock()
+		defer table.mutex.Unlock()
+		state.underWay--
+		if state.underWay == 0 && table.Clock.Now().Sub(state.waitsSince) < silenceTime {
+			state.waitsSince = time.Time{}
+		}
+	}
+}
+
+// checkSilence finds out whether the host hears nothing of any upstream.
+func (table *Table) checkSilence(now time.Time) {
+	if table.isolated || table.heardAt.IsZero() || now.Sub(table.heardAt) < silenceTime {
+		return
+	}
+	waiting := 0
+	for _, state := range table.states {
+		if !state.waitsSince.Before(table.heardAt) && now.Sub(state.waitsSince) >= silenceTime {
+			waiting++
+		}
+	}
+	if waiting < isolationThreshold {
+		return
+	}
+	table.isolated, table.silent = true, true
+	table.canaryInterval, table.nextCanary = minTrialInterval, now.Add(minTrialInterval)
+	table.Stats.Event("path", "silent")
+	table.Log.WithField("waiting", waiting).WithField("silentFor", now.Sub(table.heardAt).String()).
+		Warn(logPrefix + "host hears nothing of upstreams, distrusting all of its paths")
+}
+
+// TakeCanary reports whether a request that may run twice should be sent on the host's own
+// path, for a part of its time, to find out whether a silent host hears upstreams again.
+func (table *Table) TakeCanary() bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	now := table.Clock.Now()
+	if !table.silent || now.Before(table.nextCanary) {
+		return false
+	}
+	table.canaryInterval = min(2*table.canaryInterval, maxTrialInterval)
+	table.nextCanary = now.Add(table.canaryInterval)
+	return true
+}
+
 // Isolated reports whether the host seems to reach no upstream.
 func (table *Table) Isolated() bool {
 	table.mutex.Lock()
@@ -94,9 +164,14 @@
 func (table *Table) RecordReached(path Path) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	table.heardAt = table.Clock.Now()
 	if state := table.states[path]; state != nil {
-		state.losses = 0
+		state.losses, state.waitsSince = 0, time.Time{}
+		if state.underWay > 1 { // the request that was answered is still under way
+			state.waitsSince = table.heardAt
+		}
 	}
+	table.silent = false
 	table.endIsolation()
 }
 
@@ -195,7 +270,7 @@
 // endIsolation records that the host reached an upstream.
 func (table *Table) endIsolation() {
 	clear(table.unreached)
-	if table.isolated {
+	if table.isolated && !table.silent {
 		table.isolated = false
 		table.Stats.Event("path", "reached")
 		table.Log.Info(logPrefix + "host reaches upstreams again")
--- a/internal/dispatch/paths/paths_test.go
+++ b/internal/dispatch/paths/paths_test.go
@@ -139,3 +139,67 @@
 	is.True(failures <= 10)
 	is.True(trials <= 120) // two a second
 }
+
+// TestSilentHost guards against a host whose connections are accepted and whose requests
+// are never answered, while other hosts get answers: each request waited for its deadline.
+func TestSilentHost(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	table.Begin(pathTo(1))()
+	table.RecordReached(pathTo(1))
+	var ends []func()
+	for number := range isolationThreshold {
+		ends = append(ends, table.Begin(pathTo(number)))
+	}
+	clock.Advance(silenceTime - time.Millisecond)
+	is.True(table.Usable(pathTo(9)))
+	clock.Advance(time.Millisecond)
+	is.True(!table.Usable(pathTo(9)))
+	is.True(table.Isolated())
+	is.True(!table.TakeCanary()) // not yet
+	clock.Advance(minTrialInterval)
+	is.True(table.BeginTrial(pathTo(9)))
+	table.EndTrial(pathTo(9), true) // a connection was opened, which tells nothing
+	is.True(table.Isolated())
+	is.True(table.TakeCanary())
+	is.True(!table.TakeCanary()) // one at a time
+	clock.Advance(2 * minTrialInterval)
+	is.True(table.TakeCanary())
+	table.RecordReached(pathTo(9))
+	is.True(!table.Isolated())
+	for _, end := range ends {
+		end()
+	}
+	clock.Advance(time.Minute)
+	is.True(table.Usable(pathTo(9)))
+}
+
+// TestSilentHostWithFewRequests guards against a host that finds out that it hears nothing
+// only if it has many requests under way.
+func TestSilentHostWithFewRequests(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	table.RecordReached(pathTo(0))
+	for number := range isolationThreshold {
+		is.True(table.Usable(pathTo(number)))
+		end := table.Begin(pathTo(number))
+		clock.Advance(silenceTime)
+		end()
+	}
+	is.True(!table.Usable(pathTo(0)))
+}
+
+// TestSlowUpstreamsAreNoSilence guards against a host that distrusts its paths because some
+// upstreams take long, while others answer.
+func TestSlowUpstreamsAreNoSilence(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	for number := range 2 * isolationThreshold {
+		defer table.Begin(pathTo(number))()
+	}
+	for range 100 {
+		clock.Advance(silenceTime / 2)
+		table.RecordReached(pathTo(100))
+		is.True(table.Usable(pathTo(1)))
+	}
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -452,7 +452,7 @@
 		ctx = detached
 	}
 	return exchange.relay.Sender.Send(ctx, permit.Target, detour.Request{
-		ID: exchange.caller.ID, Content: exchange.content, Deadline: exchange.deadline.Add(-responseMargin), FirstHelper: permit.Source,
+		ID: exchange.caller.ID, Content: exchange.content, Idempotent: exchange.route.Idempotent, Deadline: exchange.deadline.Add(-responseMargin), FirstHelper: permit.Source,
 		Prepare: func() *pool.Request { return exchange.prepare(permit) },
 	})
 }
