--- a/internal/base/conf/direct.go
+++ b/internal/base/conf/direct.go
@@ -39,6 +39,9 @@
 	Health  string `toml:"health"`
 	Control string `toml:"control"`
 	Metrics string `toml:"metrics"`
+	// Source is the address from which the host connects to upstreams. If it is unset, the
+	// operating system chooses one.
+	Source netip.Addr `toml:"source"`
 }
 
 // DirectPeer configures connections between hosts of the fleet.
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -127,7 +128,9 @@
 		scheduler:        admit.NewScheduler(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
 		primaryScheduler: admit.NewExclusiveScheduler(options.Clock, rand.Uint64()),                  //nolint:gosec // spreads load
 	}
-	entry.pool = &pool.Pool{Matches: matches, Clock: options.Clock, OnUnexpectedBytes: entry.reportUnexpectedBytes}
+	entry.pool = &pool.Pool{
+		Matches: matches, Clock: options.Clock, OnUnexpectedBytes: entry.reportUnexpectedBytes, Dial: dialFrom(settings.Listen.Source),
+	}
 	entry.limiter.Borrow = entry.borrow
 	entry.follower = fetch.NewFollower(entry.client, entry.leaderIndex.Load, options.Log)
 	entry.crashes = &crash.Detector{
@@ -158,6 +161,18 @@
 	return entry, nil
 }
 
+// dialFrom returns the function that connects to upstreams from an address, or nil if the
+// operating system chooses one.
+func dialFrom(source netip.Addr) func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if !source.IsValid() {
+		return nil
+	}
+	dialer := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))}
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address.String())
+	}
+}
+
 // reportUnexpectedBytes counts and logs a connection that was closed because the
 // upstream sent bytes on it after a complete response.
 func (entry *Entry) reportUnexpectedBytes(address netip.AddrPort) {
