Keep hosts ready that reach each other while nobody reaches upstreams

Found on rereading: if no host reaches upstreams, each remembers for a second that the others are isolated, asks nobody, and takes that for reaching no other host. All hosts would have turned their callers away at once.

Cause: what is remembered of another host did not say whether it had answered. TestOutageOfUpstreamsBlocksNoHost failed before.

--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -39,8 +39,7 @@
 	openTimeout = 150 * time.Millisecond
 	// helperBackoff is how long a host is not asked again that does not reach an upstream.
 	helperBackoff = time.Second
-	// blockedTime is how long a host that found no other one to send for it counts as
-	// blocked.
+	// blockedTime is how long a host that reached no other one counts as blocked.
 	blockedTime = 2 * time.Second
 	// canaryParts is the divisor of the time left that yields the time of a canary.
 	canaryParts = 3
@@ -89,6 +88,13 @@
 	path   paths.Path
 }
 
+// refusal is that of another host to use a path.
+type refusal struct {
+	until time.Time
+	// reached is set if the host answered, and not if it could not be asked.
+	reached bool
+}
+
 // Caller sends requests to other hosts.
 type Caller interface {
 	// Open opens the link to a host.
@@ -126,9 +132,9 @@
 	// of other hosts.
 	sending, forwarding atomic.Int64
 	mutex               sync.Mutex
-	// unhelpful holds until when other hosts are not asked to use a path.
-	unhelpful map[helperPath]time.Time
-	// blockedUntil is until when no other host is known to send for this one.
+	// unhelpful holds why and until when other hosts are not asked to use a path.
+	unhelpful map[helperPath]refusal
+	// blockedUntil is until when no other host is known to be reached.
 	blockedUntil time.Time
 }
 
@@ -266,29 +272,30 @@
 	if len(prepared.Body) > maxBodyBytes {
 		return direct
 	}
-	asked, answered := 0, len(others) == 0
+	path := pathTo(target)
+	asked, reached := 0, false
 	for _, other := range others {
 		if asked == maxHelpers || ctx.Err() != nil {
 			break
 		}
-		path := pathTo(target)
-		if sender.isUnhelpful(helperPath{helper: other.Name}) {
+		if refused, known := sender.refusalOf(helperPath{helper: other.Name}); known {
+			reached = reached || refused.reached
 			continue
 		}
-		if sender.isUnhelpful(helperPath{helper: other.Name, path: path}) {
-			direct.AtFault, answered = true, true
+		if _, known := sender.refusalOf(helperPath{helper: other.Name, path: path}); known {
+			direct.AtFault, reached = true, true
 			continue
 		}
 		asked++
 		reply, err := sender.forward(ctx, other, target, request)
 		switch {
 		case errors.Is(err, links.ErrNotSent):
-			sender.setUnhelpful(helperPath{helper: other.Name})
+			sender.setUnhelpful(helperPath{helper: other.Name}, false)
 			continue
 		case err != nil:
 			return sender.recordDetour(Outcome{Helper: other.Name, Failure: lostFailure(ctx, err)})
 		}
-		answered = true
+		reached = true
 		switch reply.Outcome {
 		case forwardAnswered:
 			response := reply.response()
@@ -297,14 +304,14 @@
 		case forwardFailed:
 			return sender.recordDetour(Outcome{Helper: other.Name, Failure: reply.failure(), AtFault: reply.AtFault})
 		case forwardUnreached:
-			sender.setUnhelpful(helperPath{helper: other.Name, path: path})
+			sender.setUnhelpful(helperPath{helper: other.Name, path: path}, true)
 			direct.AtFault = true
 		case forwardIsolated:
-			sender.setUnhelpful(helperPath{helper: other.Name})
+			sender.setUnhelpful(helperPath{helper: other.Name}, true)
 		case forwardDeclined:
 		}
 	}
-	sender.setBlocked(!answered)
+	sender.setBlocked(len(others) > 0 && !reached)
 	sender.Stats.Event("detour", "none")
 	return direct
 }
@@ -337,25 +344,27 @@
 	return outcome
 }
 
-func (sender *Sender) isUnhelpful(key helperPath) bool {
+// refusalOf returns the refusal that is remembered for a path of another host, if any.
+func (sender *Sender) refusalOf(key helperPath) (refused refusal, known bool) {
 	sender.mutex.Lock()
 	defer sender.mutex.Unlock()
-	return sender.Clock.Now().Before(sender.unhelpful[key])
+	refused = sender.unhelpful[key]
+	return refused, sender.Clock.Now().Before(refused.until)
 }
 
-func (sender *Sender) setUnhelpful(key helperPath) {
+func (sender *Sender) setUnhelpful(key helperPath, reached bool) {
 	sender.mutex.Lock()
 	defer sender.mutex.Unlock()
 	now := sender.Clock.Now()
-	maps.DeleteFunc(sender.unhelpful, func(_ helperPath, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(sender.unhelpful, func(_ helperPath, refused refusal) bool { return now.After(refused.until) })
 	if sender.unhelpful == nil {
-		sender.unhelpful = map[helperPath]time.Time{}
+		sender.unhelpful = map[helperPath]refusal{}
 	}
-	sender.unhelpful[key] = now.Add(helperBackoff)
+	sender.unhelpful[key] = refusal{until: now.Add(helperBackoff), reached: reached}
 }
 
 // Blocked reports whether this host reaches neither upstreams nor, as far as it has tried
-// in the last seconds, another host that would send for it.
+// in the last seconds, any other host.
 func (sender *Sender) Blocked() bool {
 	if !sender.Paths.Isolated() {
 		return false
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -376,3 +376,23 @@
 	fleet.hosts[0].Scheduler.Update(fleet.target.Service, []admit.Target{fleet.target}, spans.Table{})
 	is.Equal(fleet.send(t.Context()).Helper, "c")
 }
+
+// TestOutageOfUpstreamsBlocksNoHost guards against hosts that turn their callers away, all
+// at once, because none of them reaches upstreams, while they reach each other.
+func TestOutageOfUpstreamsBlocksNoHost(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3)
+	for _, host := range fleet.hosts {
+		host.cut.Store(true)
+		for number := range 3 {
+			target := fleet.target
+			target.Owner.Born += int64(number)
+			host.Paths.RecordUnreached(pathTo(target), "refused")
+		}
+		is.True(host.Paths.Isolated())
+	}
+	for range 5 {
+		is.True(fleet.send(t.Context()).Failure != nil)
+		is.True(!fleet.hosts[0].Blocked())
+	}
+}
