Let a silent host use its paths again if no canary comes

Found on rereading: a host that hears nothing of upstreams ends that by the answer to a request that may run twice. One whose requests all must not run twice would have sent them through other hosts for ever.

After 10 s in which a canary was due and none came it uses its paths again, and finds out anew if it still hears nothing. TestSilentHostWithoutCanary failed before: not usable after 10 s.

--- a/internal/dispatch/paths/paths.go
+++ b/internal/dispatch/paths/paths.go
@@ -34,6 +34,9 @@
 	// silenceTime is how long requests to isolationThreshold upstreams have no answer, and
 	// nothing is heard of any upstream, until a host counts as isolated.
 	silenceTime = time.Second
+	// canaryPatience is how long a silent host waits for a request that may be its canary,
+	// until it uses its paths again.
+	canaryPatience = 10 * time.Second
 	// lossThreshold is the number of connections lost in a row that counts against the
 	// upstream.
 	lossThreshold = 2
@@ -119,6 +122,10 @@
 
 // checkSilence finds out whether the host hears nothing of any upstream.
 func (table *Table) checkSilence(now time.Time) {
+	if table.silent && now.Sub(table.nextCanary) > canaryPatience {
+		table.silent, table.heardAt = false, now
+		table.endIsolation()
+	}
 	if table.isolated || table.heardAt.IsZero() || now.Sub(table.heardAt) < silenceTime {
 		return
 	}
--- a/internal/dispatch/paths/paths_test.go
+++ b/internal/dispatch/paths/paths_test.go
@@ -189,6 +189,24 @@
 	is.True(!table.Usable(pathTo(0)))
 }
 
+// TestSilentHostWithoutCanary guards against a host that never uses its paths again because
+// none of its requests may run twice.
+func TestSilentHostWithoutCanary(t *testing.T) {
+	is := is.New(t)
+	table, clock := newTable()
+	table.RecordReached(pathTo(0))
+	for number := range isolationThreshold {
+		defer table.Begin(pathTo(number))()
+	}
+	clock.Advance(silenceTime)
+	is.True(!table.Usable(pathTo(0)))
+	clock.Advance(minTrialInterval + canaryPatience)
+	is.True(!table.Usable(pathTo(0)))
+	clock.Advance(time.Millisecond)
+	is.True(table.Usable(pathTo(0)))
+	is.True(!table.Isolated())
+}
+
 // TestSlowUpstreamsAreNoSilence guards against a host that distrusts its paths because some
 // upstreams take long, while others answer.
 func TestSlowUpstreamsAreNoSilence(t *testing.T) {
