--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -272,50 +272,84 @@
 	if len(prepared.Body) > maxBodyBytes {
 		return direct
 	}
-	path := pathTo(target)
 	asked, reached := 0, false
 	for _, other := range others {
 		if asked == maxHelpers || ctx.Err() != nil {
 			break
 		}
-		if refused, known := sender.refusalOf(helperPath{helper: other.Name}); known {
-			reached = reached || refused.reached
-			continue
-		}
-		if _, known := sender.refusalOf(helperPath{helper: other.Name, path: path}); known {
-			direct.AtFault, reached = true, true
-			continue
+		answer, known := sender.rememberedAnswer(other, target)
+		if !known {
+			asked++
+			answer = sender.ask(ctx, other, target, request)
 		}
-		asked++
-		reply, err := sender.forward(ctx, other, target, request)
-		switch {
-		case errors.Is(err, links.ErrNotSent):
-			sender.setUnhelpful(helperPath{helper: other.Name}, false)
-			continue
-		case err != nil:
-			return sender.recordDetour(Outcome{Helper: other.Name, Failure: lostFailure(ctx, err)})
-		}
-		reached = true
-		switch reply.Outcome {
-		case forwardAnswered:
-			response := reply.response()
-			sender.recordNotice(target, response)
-			return sender.recordDetour(Outcome{Helper: other.Name, Response: response})
-		case forwardFailed:
-			return sender.recordDetour(Outcome{Helper: other.Name, Failure: reply.failure(), AtFault: reply.AtFault})
-		case forwardUnreached:
-			sender.setUnhelpful(helperPath{helper: other.Name, path: path}, true)
-			direct.AtFault = true
-		case forwardIsolated:
-			sender.setUnhelpful(helperPath{helper: other.Name}, true)
-		case forwardDeclined:
+		if answer.taken {
+			sender.setBlocked(false)
+			return answer.outcome
 		}
+		reached = reached || answer.reached
+		direct.AtFault = direct.AtFault || answer.unreached
 	}
 	sender.setBlocked(len(others) > 0 && !reached)
 	sender.Stats.Event("detour", "none")
 	return direct
 }
 
+// helperAnswer is what came of asking another host to send a request.
+type helperAnswer struct {
+	// taken is set if the host may have sent it; outcome is the request's then.
+	taken   bool
+	outcome Outcome
+	// reached is set if the host answered, and unreached if it does not reach the upstream
+	// though it reaches others.
+	reached, unreached bool
+}
+
+// rememberedAnswer returns what another host answered a moment ago.
+func (sender *Sender) rememberedAnswer(other state.Entry, target admit.Target) (helperAnswer, bool) {
+	if refused, known := sender.refusalOf(helperPath{helper: other.Name}); known {
+		return helperAnswer{reached: refused.reached}, true
+	}
+	_, known := sender.refusalOf(helperPath{helper: other.Name, path: pathTo(target)})
+	return helperAnswer{reached: known, unreached: known}, known
+}
+
+// ask asks another host to send a request.
+func (sender *Sender) ask(ctx context.Context, other state.Entry, target admit.Target, request Request) helperAnswer {
+	reply, err := sender.forward(ctx, other, target, request)
+	switch {
+	case errors.Is(err, links.ErrNotSent):
+		sender.setUnhelpful(helperPath{helper: other.Name}, false)
+		return helperAnswer{}
+	case err != nil:
+		return sender.taken(Outcome{Helper: other.Name, Failure: lostFailure(ctx, err)})
+	}
+	switch reply.Outcome {
+	case forwardAnswered:
+		response := reply.response()
+		sender.recordNotice(target, response)
+		return sender.taken(Outcome{Helper: other.Name, Response: response})
+	case forwardFailed:
+		return sender.taken(Outcome{Helper: other.Name, Failure: reply.failure(), AtFault: reply.AtFault})
+	case forwardUnreached:
+		sender.setUnhelpful(helperPath{helper: other.Name, path: pathTo(target)}, true)
+		return helperAnswer{reached: true, unreached: true}
+	case forwardIsolated:
+		sender.setUnhelpful(helperPath{helper: other.Name}, true)
+	case forwardDeclined:
+	}
+	return helperAnswer{reached: true}
+}
+
+// taken counts a request that another host took.
+func (sender *Sender) taken(outcome Outcome) helperAnswer {
+	event := "answered"
+	if outcome.Failure != nil {
+		event = string(outcome.Failure.Failure)
+	}
+	sender.Stats.Event("detour", event)
+	return helperAnswer{taken: true, outcome: outcome, reached: true}
+}
+
 func (sender *Sender) others(target admit.Target, first string) []state.Entry {
 	if sender.Others == nil {
 		return nil
@@ -333,17 +367,6 @@
 	return &pool.SendError{Failure: failure, Cause: cause}
 }
 
-// recordDetour counts a request that another host took.
-func (sender *Sender) recordDetour(outcome Outcome) Outcome {
-	sender.setBlocked(false)
-	event := "answered"
-	if outcome.Failure != nil {
-		event = string(outcome.Failure.Failure)
-	}
-	sender.Stats.Event("detour", event)
-	return outcome
-}
-
 // refusalOf returns the refusal that is remembered for a path of another host, if any.
 func (sender *Sender) refusalOf(key helperPath) (refused refusal, known bool) {
 	sender.mutex.Lock()
--- /dev/null
+++ b/internal/dispatch/permit/order.go
@@ -0,0 +1,106 @@
+package permit
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"damaskcrank.example/damaskcrank/internal/control/state"
+	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
+)
+
+// limitShares are the parts of an upstream's rate limit that its primary and the hosts
+// after it in order may admit. The other hosts may admit nothing.
+var limitShares = [...]float64{1, 0.25, 0.125}
+
+// primary returns the host that grants the permits for a subject, which is an
+// upstream or a service. It is chosen by rendezvous hashing among the hosts of the
+// data centre or, if none is usable there, among all hosts other than the exceptions.
+func (client *Client) primary(subject, dataCentre string, except ...string) (state.Entry, bool) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	now := client.clock.Now()
+	var best state.Entry
+	var bestScore uint64
+	found, foundLocal := false, false
+	for _, entry := range client.entries {
+		if !eligible(entry) || now.Before(client.suspectUntil[entry.Name]) || slices.Contains(except, entry.Name) {
+			continue
+		}
+		local := entry.DataCentre == dataCentre
+		if foundLocal && !local {
+			continue
+		}
+		score := primaryScore(subject, entry)
+		if !found || local && !foundLocal || score > bestScore {
+			best, bestScore, found, foundLocal = entry, score, true, local
+		}
+	}
+	return best, found
+}
+
+// Others returns the other entry hosts, in the order in which they should send a request
+// in this host's place: first the one given, which is known to be alive, then those in the
+// upstream's data centre, those in this host's, and all others.
+func (client *Client) Others(target admit.Target, first string) []state.Entry {
+	client.mutex.Lock()
+	others := slices.DeleteFunc(slices.Clone(client.entries), func(entry state.Entry) bool {
+		return entry.Name == client.self || !eligible(entry)
+	})
+	client.mutex.Unlock()
+	distance := func(entry state.Entry) int {
+		switch {
+		case entry.Name == first:
+			return 0
+		case entry.DataCentre == target.DataCentre:
+			return 1
+		case entry.DataCentre == client.dataCentre:
+			return 2
+		default:
+			return 3
+		}
+	}
+	slices.SortFunc(others, func(left, right state.Entry) int {
+		return cmp.Or(cmp.Compare(distance(left), distance(right)),
+			cmp.Compare(primaryScore(target.Owner.ID, right), primaryScore(target.Owner.ID, left)))
+	})
+	return others
+}
+
+// eligible reports whether an entry host may be a primary.
+func eligible(entry state.Entry) bool { return !entry.Draining && entry.Peer.IsValid() }
+
+// primaryScore is the weight of an entry host in the choice of a subject's primary.
+func primaryScore(subject string, entry state.Entry) uint64 {
+	return xxhash.Sum64String(subject + "/" + entry.Name)
+}
+
+// LimitShare returns the part of an upstream's rate limit that this host may admit, by
+// its place in the order in which hosts are asked for permits. Hosts that do not reach the
+// primary ask the next ones, and don't agree on them, so that these have small parts: all
+// parts together are one and a half limits.
+func (client *Client) LimitShare(target admit.Target) float64 {
+	subject := target.Service
+	if target.Keyed {
+		subject = target.Owner.ID
+	}
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	position := slices.IndexFunc(client.entries, func(entry state.Entry) bool { return entry.Name == client.self })
+	if position < 0 || !eligible(client.entries[position]) {
+		return 0
+	}
+	own, before := client.entries[position], 0
+	for _, entry := range client.entries {
+		local, ownLocal := entry.DataCentre == target.DataCentre, own.DataCentre == target.DataCentre
+		first := primaryScore(subject, entry) > primaryScore(subject, own)
+		if eligible(entry) && (local && !ownLocal || local == ownLocal && first) {
+			before++
+		}
+	}
+	if before < len(limitShares) {
+		return limitShares[before]
+	}
+	return 0
+}
