Hold back the end of the head when a request's beginning is sent first

A request with a body counted as not sent, and was sent again, if its upstream ended the connection right after the head: an upstream may start on a request before it has read the body.

Cause: the beginning was all of the request but its last byte, which is in the body if there is one.

The beginning now ends before the last byte of the head, so that no upstream can have started.

--- a/internal/dispatch/pool/begin.go
+++ b/internal/dispatch/pool/begin.go
@@ -35,10 +35,11 @@
 
 // begin returns a connection on which the upstream can be reached, and the part of the
 // request that is left to send. On a connection that is new or was quiet it has sent a
-// beginning that the upstream's kernel acknowledged, but never the whole request: with an
-// error, the upstream can't have run it.
-func (pool *Pool) begin(ctx context.Context, address netip.AddrPort, encoded []byte) (*conn, []byte, error) {
-	length := min(len(encoded)-1, maxBeginningBytes)
+// beginning that the upstream's kernel acknowledged, but never the whole head: an upstream
+// may start on a request before it has read the body. With an error, it can't have run it.
+func (pool *Pool) begin(ctx context.Context, address netip.AddrPort, request *Request) (*conn, []byte, error) {
+	encoded, headLength := request.encode()
+	length := min(headLength-1, maxBeginningBytes)
 	for {
 		connection := pool.takeUsable(address)
 		isNew := connection == nil
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -190,7 +190,7 @@
 // ends, by its deadline or by cancellation, Send fails and closes the connection,
 // which signals the upstream to stop, or closes it shortly after if OnLateLoss is set.
 func (pool *Pool) Send(ctx context.Context, address netip.AddrPort, request *Request) (*Response, *SendError) {
-	connection, unsent, err := pool.begin(ctx, address, request.encode())
+	connection, unsent, err := pool.begin(ctx, address, request)
 	if err != nil {
 		return nil, unsentError(err)
 	}
@@ -573,8 +573,8 @@
 	return timeout * reuseTenths / 10
 }
 
-// encode returns the wire format of the request.
-func (request *Request) encode() []byte {
+// encode returns the wire format of the request, and the length of its head.
+func (request *Request) encode() (encoded []byte, headLength int) {
 	var buffer bytes.Buffer
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
@@ -586,6 +586,7 @@
 		buffer.WriteString("Content-Length: " + itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
+	headLength = buffer.Len()
 	buffer.Write(request.Body)
-	return buffer.Bytes()
+	return buffer.Bytes(), headLength
 }
--- a/internal/dispatch/pool/quiet_test.go
+++ b/internal/dispatch/pool/quiet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -116,6 +117,24 @@
 	is.True(conns <= 1)
 }
 
+// TestUpstreamThatStartsAtTheHead guards against taking a request for one that was not sent,
+// so that it is sent again, when an upstream starts on it before it has read the body and
+// then ends the connection.
+func TestUpstreamThatStartsAtTheHead(t *testing.T) {
+	is := is.New(t)
+	for range 200 { // the upstream may be faster or slower than the request's end
+		standin := startStandIn(t, script{responses: []string{""}, reset: true})
+		request := newRequest("1")
+		request.Method, request.Body = http.MethodPost, []byte("body")
+		ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+		_, failure := newPool().Send(ctx, standin.address(), request)
+		cancel()
+		is.True(failure.MayHaveRun())
+		requests, _ := standin.count()
+		is.Equal(requests, 1)
+	}
+}
+
 // TestStalledRequest guards against requests that wait for their deadline on a connection
 // whose path breaks just as they are sent.
 func TestStalledRequest(t *testing.T) {
