Take an outcome of another host that is unknown for one that may have run

Found on rereading: a reply whose outcome this host does not know counted as not sent, so that a request that another host had sent could be refused as not run or sent again. It needs hosts of different versions.

Cause: the cases of the known outcomes had no other. Ruled out: replies that can't be decoded, which count as lost already. TestUnknownOutcomeMayHaveRun failed before (not sent) and passes.

--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -104,7 +104,7 @@
 }
 
 // Sender sends the requests of one host to upstreams. It is safe for concurrent use. All
-// fields but Others must be set.
+// fields but Others and OnLeaving must be set.
 type Sender struct {
 	// Self is the name of this host.
 	Self  string
@@ -169,6 +169,9 @@
 	errResting = Error.New("the upstream wants no requests from this host now")
 	// errDrained is the cause of requests that are not sent because the upstream leaves.
 	errDrained = Error.New("the upstream leaves and gets no more requests")
+	// errOutcome is the cause of requests of which another host does not say, in words that
+	// this one knows, whether it sent them.
+	errOutcome = Error.New("the other host's outcome is unknown")
 )
 
 // check returns an error if this host must not send to the upstream, on any way.
@@ -336,6 +339,8 @@
 	case forwardIsolated:
 		sender.setUnhelpful(helperPath{helper: other.Name}, true)
 	case forwardDeclined:
+	default:
+		return sender.taken(Outcome{Helper: other.Name, Failure: lostFailure(ctx, errOutcome)})
 	}
 	return helperAnswer{reached: true}
 }
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -18,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/base/stats"
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
@@ -396,3 +397,27 @@
 		is.True(!fleet.hosts[0].Blocked())
 	}
 }
+
+// TestUnknownOutcomeMayHaveRun guards against refusing a request as not run because another
+// host, of another version, reports an outcome that this one does not know.
+func TestUnknownOutcomeMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.hosts[0].cut.Store(true)
+	head, err := codec.Marshal(forwardReply{Outcome: "other"})
+	is.NoErr(err)
+	fleet.hosts[0].Caller = fixedCaller{reply: links.Payload{Kind: kindForwarded, Head: head}}
+	got := fleet.send(t.Context())
+	is.True(got.Failure.MayHaveRun())
+}
+
+// fixedCaller gives the same reply to each request.
+type fixedCaller struct{ reply links.Payload }
+
+// Open implements Caller.
+func (fixedCaller) Open(context.Context, netip.AddrPort) error { return nil }
+
+// Call implements Caller.
+func (fixedcaller fixedCaller) Call(context.Context, netip.AddrPort, links.Payload) (links.Payload, error) {
+	return fixedcaller.reply, nil
+}
