Review: some hundreds of large changes end the control group for good

The log of the control group is compacted by the number of its entries only, so large changes use up the memory of all control hosts at once, and they can't start any more. Change: case 2, an operator who sends the whole list of routes with each change.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption. Needs target/damaskcrank and review/build.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/stand ] && [ -x ../../target/damaskcrank ] || exit 2
-exec ../bin/stand bodies ../.. .
+exec ../bin/stand pushes ../.. .
