Send attempts that share an ID on different connections

Cause: all attempts of a request carry the caller's ID. The next attempt of a rejected request took the kept connection on which a late second copy of the rejection was still due, and the copy has the ID that the answer to that attempt has, too.

A connection now carries an ID once: it keeps the hashes of the IDs that it carried, and is closed after 256 requests, which costs one new connection in 256 requests at most. The same on the host that sends in place of another one.

--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -44,6 +45,8 @@
 	rest string
 	// leaving is set if the upstream says in its answers that it leaves.
 	leaving bool
+	// conns are the connections on which requests came.
+	conns sync.Map
 	server  *httptest.Server
 }
 
@@ -62,6 +65,7 @@
 	fleet := &fleet{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
 	fleet.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		fleet.runs.Add(1)
+		fleet.conns.Store(request.RemoteAddr, true)
 		if fleet.release != nil {
 			<-fleet.release
 		}
@@ -421,3 +425,24 @@
 func (fixedcaller fixedCaller) Call(context.Context, netip.AddrPort, links.Payload) (links.Payload, error) {
 	return fixedcaller.reply, nil
 }
+
+// TestForwardedAttemptsUseOtherConnections guards against a late copy of the answer to one
+// attempt that is taken for the answer to the next, where another host sends both: they have
+// the same ID.
+func TestForwardedAttemptsUseOtherConnections(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 2)
+	fleet.hosts[0].cut.Store(true)
+	const attempts = 3
+	for range attempts {
+		outcome := fleet.send(t.Context())
+		is.True(outcome.Failure == nil)
+		is.Equal(outcome.Helper, "b")
+	}
+	conns := 0
+	fleet.conns.Range(func(any, any) bool {
+		conns++
+		return true
+	})
+	is.Equal(conns, attempts)
+}
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -122,7 +122,7 @@
 	defer cancel()
 	attempt := crash.Attempt{Content: message.Content, Service: target.Service, Owner: target.Owner, Address: target.Address}
 	outcome := sender.sendDirectly(ctx, target, &pool.Request{
-		Method: message.Method, Target: message.Target, Host: message.Host, Header: message.Header, Body: body,
+		ID: message.RequestID, Method: message.Method, Target: message.Target, Host: message.Host, Header: message.Header, Body: body,
 		OnLateLoss: func() { sender.Crashes.Lost(attempt) },
 	})
 	failure := outcome.Failure
--- a/internal/dispatch/pool/begin.go
+++ b/internal/dispatch/pool/begin.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -41,7 +42,7 @@
 	encoded, headLength := request.encode()
 	length := min(headLength-1, maxBeginningBytes)
 	for {
-		connection := pool.takeUsable(address)
+		connection := pool.takeUsable(address, request.ID)
 		isNew := connection == nil
 		if isNew {
 			var err error
@@ -49,6 +50,7 @@
 				return nil, nil, err
 			}
 		}
+		connection.carried = append(connection.carried, xxhash.Sum64String(request.ID))
 		if pool.Clock.Now().Sub(connection.heardAt) < quietTime {
 			return connection, encoded, nil
 		}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -14,11 +14,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 )
@@ -45,6 +47,8 @@
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 8 << 10
+	// maxRequests bounds the requests that one connection carries, as it remembers their IDs.
+	maxRequests = 256
 	// sweepInterval is the time between two sweeps for idle connections that can't be
 	// reused.
 	sweepInterval = time.Second
@@ -55,6 +59,10 @@
 
 // Request is a request to an upstream.
 type Request struct {
+	// ID is what the upstream repeats in its answer. All attempts of a request have the
+	// same, so that no connection carries an ID twice: a late copy of the answer to one
+	// attempt would be taken for the answer to the next.
+	ID     string
 	Method string
 	// Target is the path and query, exactly as the caller sent them.
 	Target string
@@ -180,6 +188,8 @@
 	givenUp bool
 	// reused is set once the connection has carried a request.
 	reused bool
+	// carried holds the hashes of the IDs of all requests that were sent.
+	carried []uint64
 	// reusableUntil is when the connection is too old to be reused, as the upstream
 	// may be about to close it.
 	reusableUntil time.Time
@@ -218,7 +228,7 @@
 		connection.reset()
 		return nil, failure
 	}
-	if failure != nil || !reusable || !stop() || connection.stalled.Load() {
+	if failure != nil || !reusable || !stop() || connection.stalled.Load() || len(connection.carried) >= maxRequests {
 		_ = connection.Close()
 		return response, failure
 	}
@@ -264,11 +274,11 @@
 	return nil
 }
 
-// takeUsable removes and returns an idle connection that may be used, or nil if there is
-// none. It closes those that may not.
-func (pool *Pool) takeUsable(address netip.AddrPort) *conn {
+// takeUsable removes and returns an idle connection that may be used and has not carried a
+// request with the ID, or nil if there is none. It closes those that may not be used.
+func (pool *Pool) takeUsable(address netip.AddrPort, id string) *conn {
 	for {
-		connection := pool.takeIdle(address)
+		connection := pool.takeIdle(address, xxhash.Sum64String(id))
 		if connection == nil {
 			return nil
 		}
@@ -328,18 +338,19 @@
 	return count, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if
-// there is none.
-func (pool *Pool) takeIdle(address netip.AddrPort) *conn {
+// takeIdle removes and returns the most recently used idle connection that has not carried
+// a request whose ID has the hash, or nil if there is none.
+func (pool *Pool) takeIdle(address netip.AddrPort, hash uint64) *conn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for position, connection := range slices.Backward(idle) {
+		if !slices.Contains(connection.carried, hash) {
+			pool.idle[address] = slices.Delete(idle, position, position+1)
+			return connection
+		}
 	}
-	last := idle[len(idle)-1]
-	pool.idle[address] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
 // put returns a connection to the pool, or closes it if the pool is closed or full.
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -106,7 +106,7 @@
 }
 
 func newRequest(id string) *Request {
-	return &Request{Method: http.MethodGet, Target: "/x?y=1", Host: "host", Header: http.Header{"Id": {id}}}
+	return &Request{ID: id, Method: http.MethodGet, Target: "/x?y=1", Host: "host", Header: http.Header{"Id": {id}}}
 }
 
 func responseText(id, body string) string {
@@ -229,3 +229,59 @@
 	_, conns := standin.count()
 	is.Equal(conns, 1)
 }
+
+// TestLateCopyOfOwnRefusal guards against a request that is called not run, or is sent a third
+// time, although its second attempt runs: the attempts have the same ID, and the late second
+// copy of the refusal of the first one arrives where the answer to the second is expected.
+func TestLateCopyOfOwnRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct {
+		name  string
+		first script
+		ids   []string
+	}{
+		{"the next request on the connection", script{responses: []string{refusal, refusal + responseText("1", "copied")}}, []string{"1", "1"}},
+		{
+			"another request in between",
+			script{responses: []string{refusal, responseText("2", "other"), refusal + responseText("1", "copied")}},
+			[]string{"1", "2", "1"},
+		},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			standin := startStandIn(t, testcase.first, script{responses: []string{responseText("1", "own")}})
+			pool := newPool()
+			defer pool.Close()
+			var last *Response
+			for _, id := range testcase.ids {
+				var failure *SendError
+				last, failure = pool.Send(t.Context(), standin.address(), newRequest(id))
+				is.True(failure == nil)
+			}
+			is.Equal(last.Status, http.StatusOK)
+			is.Equal(string(bytes.Join(last.Body, nil)), "own")
+			_, conns := standin.count()
+			is.Equal(conns, 2)
+		})
+	}
+}
+
+// TestConnectionsForgetNoRequest guards against a connection that carries so many requests
+// that it no longer knows whether it has carried one before.
+func TestConnectionsForgetNoRequest(t *testing.T) {
+	is := is.New(t)
+	var responses []string
+	for number := range maxRequests + 1 {
+		responses = append(responses, responseText(itoa(number), ""))
+	}
+	standin := startStandIn(t, script{responses: responses}, script{responses: responses[maxRequests:]})
+	pool := newPool()
+	defer pool.Close()
+	for number := range maxRequests + 1 {
+		_, failure := pool.Send(t.Context(), standin.address(), newRequest(itoa(number)))
+		is.True(failure == nil)
+	}
+	_, conns := standin.count()
+	is.Equal(conns, 2)
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -475,7 +475,7 @@
 		Upstream: permit.Target.Owner.ID, Workspace: exchange.workspace,
 	})
 	return &pool.Request{
-		Method: exchange.request.Method, Target: exchange.request.RequestURI, Host: exchange.request.Host,
+		ID: exchange.caller.ID, Method: exchange.request.Method, Target: exchange.request.RequestURI, Host: exchange.request.Host,
 		Header: header, Body: exchange.body, OnLateLoss: func() { exchange.reportLoss(permit) },
 	}
 }
