Tell late responses to other attempts apart on the product's own interface

Each attempt now carries an Attempt-Id, which upstreams may repeat. A response to another attempt is none: the call may have run, and its connection is closed. Upstreams that do not repeat the field are served as before.

upstr.TestLateResponseToEarlierAttempt failed before (not run in place of lost).

--- a/internal/bench/fake/fake.go
+++ b/internal/bench/fake/fake.go
@@ -383,6 +383,7 @@
 		upstream.Kill()
 		return
 	}
+	writer.Header().Set(upstr.HeaderAttempt, request.Header.Get(upstr.HeaderAttempt))
 	if !upstream.admit(writer, request) {
 		return
 	}
--- a/internal/dispatch/shard/attempt.go
+++ b/internal/dispatch/shard/attempt.go
@@ -261,11 +261,12 @@
 	target.running++
 	target.runs[job] = now
 	shard.running[job] = true
+	id := uuid.NewString()
 	attempt := &attempt{
-		shard: shard, request: job.request, deadline: job.deadline, id: uuid.NewString(), granted: target.hasGrant,
+		shard: shard, request: job.request, deadline: job.deadline, id: id, granted: target.hasGrant,
 		call: upstr.Call{
 			Address: target.upstream.Address, Workspace: job.request.Workspace, RequestID: job.request.ID,
-			Method: job.request.Method, Target: job.request.Target, Header: job.request.Header,
+			AttemptID: id, Method: job.request.Method, Target: job.request.Target, Header: job.request.Header,
 			IdempotencyKey: job.request.IdempotencyKey, Body: job.request.Body, Token: token, Epoch: shard.epoch,
 			MaxAnswerSize: service.MaxAnswerSize,
 		},
--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -107,6 +107,9 @@
 	}
 	request.Header.Set(HeaderWorkspace, call.Workspace)
 	request.Header.Set(HeaderRequestID, call.RequestID)
+	if call.AttemptID != "" {
+		request.Header.Set(HeaderAttempt, call.AttemptID)
+	}
 	request.Header.Set(HeaderEpoch, strconv.FormatUint(call.Epoch, 10))
 	if call.Token > 0 {
 		request.Header.Set(HeaderToken, strconv.FormatUint(call.Token, 10))
@@ -123,16 +126,20 @@
 // Send sends a call and returns its result. NotRun is returned only if that is
 // certain: either there was no connection, or the upstream said so.
 func (client *Client) Send(ctx context.Context, call Call) Result {
-	connected := false
-	request, err := newRequest(traceConnections(ctx, func() { connected = true }), call)
+	var connection net.Conn
+	request, err := newRequest(traceConnections(ctx, func(conn net.Conn) { connection = conn }), call)
 	if err != nil {
 		return NotRun{Cause: CauseUnreachable, Err: err}
 	}
 	response, err := client.transport.RoundTrip(request)
 	if err != nil {
-		return failedResult(ctx, connected, err)
+		return failedResult(ctx, connection != nil, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if id := response.Header.Get(HeaderAttempt); id != "" && id != call.AttemptID {
+		_ = connection.Close() // the response to this attempt may still come
+		return Lost{Err: Error.New("the upstream answered another attempt")}
+	}
 	return readResponse(ctx, response, call.MaxAnswerSize)
 }
 
@@ -221,7 +228,7 @@
 }
 
 // strippedResponseHeaders are the fields of a response that callers do not receive.
-var strippedResponseHeaders = NewFieldSet(HeaderOutcome)
+var strippedResponseHeaders = NewFieldSet(HeaderOutcome, HeaderAttempt)
 
 // responseHeader returns the fields that are forwarded to the caller.
 func responseHeader(header http.Header) []state.HeaderField {
--- a/internal/dispatch/upstr/guard.go
+++ b/internal/dispatch/upstr/guard.go
@@ -47,10 +47,10 @@
 
 // traceConnections returns a context in which each request waits until its connection
 // is known to hold no unread bytes. The function gotConn, if set, is called before.
-func traceConnections(ctx context.Context, gotConn func()) context.Context {
+func traceConnections(ctx context.Context, gotConn func(net.Conn)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if gotConn != nil {
-			gotConn()
+			gotConn(info.Conn)
 		}
 		if guardedconn, ok := info.Conn.(*guardedConn); ok {
 			guardedconn.awaitReader(ctx)
--- a/internal/dispatch/upstr/upstr.go
+++ b/internal/dispatch/upstr/upstr.go
@@ -22,6 +22,9 @@
 	HeaderEpoch     = "Primary-Epoch"
 	HeaderDeadline  = "Request-Timeout-Ms"
 	HeaderRequestID = "Request-Id"
+	// HeaderAttempt identifies one attempt of a request. An upstream that repeats it in its
+	// response lets the system tell late responses to other attempts apart.
+	HeaderAttempt = "Attempt-Id"
 	// HeaderOutcome is set in the response of an upstream that refuses a request
 	// without running it.
 	HeaderOutcome = "Request-Outcome"
@@ -139,6 +142,8 @@
 	Address   netip.AddrPort
 	Workspace string
 	RequestID string
+	// AttemptID identifies this attempt of the request.
+	AttemptID string
 	Method    string
 	Target    string
 	Header    []state.HeaderField
--- a/internal/dispatch/upstr/upstr_test.go
+++ b/internal/dispatch/upstr/upstr_test.go
@@ -197,3 +197,21 @@
 	is.True(!ok)
 	is.Equal(count.Load(), int64(1))
 }
+
+// TestLateResponseToEarlierAttempt guards against a call that is taken for not run although
+// it runs: its upstream repeats its refusal of an earlier attempt once the call is on the
+// connection, and both have the same request ID.
+func TestLateResponseToEarlierAttempt(t *testing.T) {
+	is := is.New(t)
+	const refusal = "HTTP/1.1 503 Busy\r\nAttempt-Id: a1\r\nRequest-Outcome: notRun\r\nContent-Length: 0\r\n\r\n"
+	address, _ := startScriptedServer(t, refusal, refusal+wholeResponse)
+	client := NewClient(2, nil)
+	defer client.Close()
+	call := Call{Address: address, RequestID: "r", AttemptID: "a1", Method: http.MethodPost, Target: "/", Body: []byte("b"), MaxAnswerSize: 100}
+	is.True(notRun(CauseShed)(client.Send(t.Context(), call)))
+	call.AttemptID = "a2"
+	_, lost := client.Send(t.Context(), call).(Lost)
+	is.True(lost) // it may have run, and the connection is not used again
+	call.AttemptID = "a1"
+	is.True(notRun(CauseShed)(client.Send(t.Context(), call)))
+}
--- a/internal/entry/front/auth.go
+++ b/internal/entry/front/auth.go
@@ -27,7 +27,7 @@
 var strippedHeaders = upstr.NewFieldSet(
 	headerAuthorization, headerKey, headerIdempotencyKey, "Cookie", "Forwarded", "X-Forwarded-For",
 	upstr.HeaderWorkspace, upstr.HeaderToken, upstr.HeaderEpoch, upstr.HeaderDeadline,
-	upstr.HeaderRequestID, upstr.HeaderOutcome, headerTimeout,
+	upstr.HeaderRequestID, upstr.HeaderAttempt, upstr.HeaderOutcome, headerTimeout,
 )
 
 // FormatKey formats a caller key from its name and secret.
