Bound by bytes what control hosts keep of changes

An operator who sends the whole list of routes with each change, 71 KB, ended all five control hosts for good after some 400 acknowledged changes: over 280 MB each, and again at each start.

Cause: the log was compacted after 4000 entries of any size, and unchanged items were part of each. The changes kept for entry hosts, the messages to a member that stands still, appended entries and bodies of calls had bounds by count, or of 32 MiB each.

A start reads the log frame by frame.

direct.TestLargeChanges failed before for both of its cases, with the changes whole and with nothing to leave out.

--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -85,29 +85,83 @@
 	return append(frame, payload...)
 }
 
+// FrameError is the error of a frame that is truncated or corrupt.
+type FrameError struct{ Cause error }
+
+// Error returns the cause.
+func (frameerror *FrameError) Error() string { return frameerror.Cause.Error() }
+
+// Unwrap returns the cause.
+func (frameerror *FrameError) Unwrap() error { return frameerror.Cause }
+
+func invalidFrame(format string, args ...any) error {
+	return &FrameError{Cause: Error.New(format, args...)}
+}
+
+// parseHeader returns the size of the payload of the frame that starts with the header, of
+// which there are at most limit bytes.
+func parseHeader(header []byte, limit int64) (int, error) {
+	headerSum := binary.BigEndian.Uint32(header[12:])
+	if binary.BigEndian.Uint32(header) != frameMagic || headerSum != crc32.Checksum(header[:12], castagnoli) {
+		return 0, invalidFrame("frame header is corrupt")
+	}
+	size := binary.BigEndian.Uint32(header[4:])
+	if size > MaxFrameSize || int64(size) > limit-HeaderSize {
+		return 0, invalidFrame("frame of %d bytes is truncated after %d", size, limit-HeaderSize)
+	}
+	return int(size), nil
+}
+
+func checkPayload(header, payload []byte) error {
+	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(header[8:]) {
+		return invalidFrame("frame of %d bytes does not match its checksum", len(payload))
+	}
+	return nil
+}
+
 // NextFrame returns the payload of the frame at the start of data and the
 // frame's total length, header included. It returns io.EOF if data is empty,
-// and an error of class Error if the frame is truncated or corrupt.
+// and a FrameError if the frame is truncated or corrupt.
 func NextFrame(data []byte) (payload []byte, length int, err error) {
 	if len(data) == 0 {
 		return nil, 0, io.EOF
 	}
 	if len(data) < HeaderSize {
-		return nil, 0, Error.New("frame header is truncated after %d bytes", len(data))
+		return nil, 0, invalidFrame("frame header is truncated after %d bytes", len(data))
+	}
+	size, err := parseHeader(data, int64(len(data)))
+	if err != nil {
+		return nil, 0, err
+	}
+	payload = data[HeaderSize : HeaderSize+size]
+	if err := checkPayload(data, payload); err != nil {
+		return nil, 0, err
 	}
-	headerSum := binary.BigEndian.Uint32(data[12:])
-	if binary.BigEndian.Uint32(data) != frameMagic || headerSum != crc32.Checksum(data[:12], castagnoli) {
-		return nil, 0, Error.New("frame header is corrupt")
+	return payload, HeaderSize + size, nil
+}
+
+// ReadFrame is like NextFrame for a reader that has limit bytes left, which must be more
+// than 0. The payload is not shared with other frames.
+func ReadFrame(reader io.Reader, limit int64) (payload []byte, length int, err error) {
+	if limit < HeaderSize {
+		return nil, 0, invalidFrame("frame header is truncated after %d bytes", limit)
+	}
+	header := make([]byte, HeaderSize)
+	if _, err := io.ReadFull(reader, header); err != nil {
+		return nil, 0, Error.New("read frame header: %w", err)
+	}
+	size, err := parseHeader(header, limit)
+	if err != nil {
+		return nil, 0, err
 	}
-	size := binary.BigEndian.Uint32(data[4:])
-	if size > MaxFrameSize || int(size) > len(data)-HeaderSize {
-		return nil, 0, Error.New("frame of %d bytes is truncated after %d", size, len(data)-HeaderSize)
+	payload = make([]byte, size)
+	if _, err := io.ReadFull(reader, payload); err != nil {
+		return nil, 0, Error.New("read frame of %d bytes: %w", size, err)
 	}
-	payload = data[HeaderSize : HeaderSize+int(size)]
-	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[8:]) {
-		return nil, 0, Error.New("frame of %d bytes does not match its checksum", size)
+	if err := checkPayload(header, payload); err != nil {
+		return nil, 0, err
 	}
-	return payload, HeaderSize + int(size), nil
+	return payload, HeaderSize + size, nil
 }
 
 // ContainsFrame reports whether a complete, intact frame starts anywhere in
--- a/internal/base/logs/async.go
+++ b/internal/base/logs/async.go
@@ -8,7 +8,9 @@
 )
 
 const (
+	// maxBufferedLines and maxBufferedBytes bound the lines that wait to be written.
 	maxBufferedLines   = 2048
+	maxBufferedBytes   = 1 << 20
 	dropReportInterval = time.Second
 )
 
@@ -16,11 +18,13 @@
 // own, so that logging never blocks. Lines that do not fit into the buffer are
 // dropped and counted.
 type Async struct {
-	writer  io.Writer
-	lines   chan []byte
-	dropped atomic.Uint64
-	stop    chan struct{}
-	done    chan struct{}
+	writer io.Writer
+	lines  chan []byte
+	// buffered is the number of bytes in lines.
+	buffered atomic.Int64
+	dropped  atomic.Uint64
+	stop     chan struct{}
+	done     chan struct{}
 }
 
 // NewAsync returns an Async that writes to writer, and starts its goroutine.
@@ -34,9 +38,16 @@
 
 // Write queues one line. It never blocks and never fails.
 func (async *Async) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if async.buffered.Add(size) > maxBufferedBytes {
+		async.buffered.Add(-size)
+		async.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case async.lines <- append([]byte(nil), line...):
 	default:
+		async.buffered.Add(-size)
 		async.dropped.Add(1)
 	}
 	return len(line), nil
@@ -55,6 +66,7 @@
 	for {
 		select {
 		case line := <-async.lines:
+			async.buffered.Add(-int64(len(line)))
 			async.writeLine(line)
 		case <-ticker.C:
 			async.reportDropped()
--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -27,11 +27,10 @@
 		if node.failed != nil {
 			return
 		}
-		proposal, ok := node.proposals[entry.Index]
+		proposal, ok := node.takeProposal(entry.Index)
 		if !ok {
 			continue
 		}
-		delete(node.proposals, entry.Index)
 		if proposal.term != entry.Term {
 			answer = proposeAnswer{err: Error.New("entry %d was overwritten by another leader", entry.Index)}
 		}
@@ -64,7 +63,7 @@
 		if position > index && proposal.term >= term {
 			continue
 		}
-		delete(node.proposals, position)
+		node.takeProposal(position)
 		err := Error.New("entry %d was overwritten by another leader, or a snapshot hides its result", position)
 		ended = append(ended, completedProposal{reply: proposal.reply, answer: proposeAnswer{err: err}})
 	}
@@ -91,6 +90,7 @@
 // is committed in the same batch as the installation of a later snapshot is skipped,
 // since the state already includes it.
 func (node *Node) applyEntry(entry raft.Entry) proposeAnswer {
+	node.logBytes += len(entry.Data)
 	if entry.Index <= node.machine.Catalog.Index {
 		return proposeAnswer{err: Error.New("entry %d was committed, but a snapshot hides its result", entry.Index)}
 	}
@@ -128,13 +128,23 @@
 		delta = Delta{Index: index, Command: command}
 	}
 	node.deltas = append(node.deltas, delta)
-	if len(node.deltas) > 2*deltaLimit {
-		dropped := len(node.deltas) - deltaLimit
-		node.deltaBase = node.deltas[dropped-1].Index
-		node.deltas = append([]Delta(nil), node.deltas[dropped:]...)
+	node.deltaBytes += len(delta.Command)
+	if len(node.deltas) > 2*deltaLimit || node.deltaBytes > 2*maxDeltaBytes {
+		node.trimDeltas()
 	}
 }
 
+// trimDeltas drops the earliest deltas beyond deltaLimit and maxDeltaBytes.
+func (node *Node) trimDeltas() {
+	dropped := 0
+	for len(node.deltas)-dropped > deltaLimit || node.deltaBytes > maxDeltaBytes {
+		node.deltaBytes -= len(node.deltas[dropped].Command)
+		dropped++
+	}
+	node.deltaBase = node.deltas[dropped-1].Index
+	node.deltas = append([]Delta(nil), node.deltas[dropped:]...)
+}
+
 // compressedCatalog caches the encoded and compressed form of a catalog for
 // hosts that need all of it. After an outage of all hosts, many request it at
 // once.
@@ -163,10 +173,13 @@
 }
 
 // startSnapshot encodes and writes a snapshot in the background once enough
-// entries have been applied since the last one. The event loop receives the result.
+// entries, or enough bytes of them, have been applied since the last one. The event loop
+// receives the result.
 func (node *Node) startSnapshot() {
 	index := node.machine.Catalog.Index
-	if node.snapshotRunning || index < node.core.SnapshotIndex()+node.options.SnapshotEvery {
+	enough := index >= node.core.SnapshotIndex()+node.options.SnapshotEvery ||
+		node.logBytes >= max(node.options.SnapshotBytes, node.core.SnapshotSize())
+	if node.snapshotRunning || !enough {
 		return
 	}
 	entries, ok := node.core.EntriesAfter(index-1, 1)
@@ -174,6 +187,7 @@
 		return
 	}
 	node.snapshotRunning = true
+	node.logBytes = 0
 	image := node.machine.Clone()
 	snapshot := raft.Snapshot{Index: index, Term: entries[0].Term, Members: node.core.CommittedMembers()}
 	go func() {
@@ -227,8 +241,9 @@
 	}
 	node.machine = machine
 	node.machine.Catalog = machine.Catalog.AdvanceTo(snapshot.Index)
-	node.deltas = nil
+	node.deltas, node.deltaBytes = nil, 0
 	node.deltaBase = snapshot.Index
+	node.logBytes = 0
 	node.catalog.Store(node.machine.Catalog)
 	return nil
 }
--- a/internal/control/group/batch.go
+++ b/internal/control/group/batch.go
@@ -16,8 +16,10 @@
 	maxBatchTime      = 60 * time.Millisecond
 	// minBatch is the number of changes from which they are compressed together.
 	minBatch = 3
-	// maxCachedBatches bounds the batches that are kept for other hosts at the same index.
+	// maxCachedBatches and maxCachedBytes bound the batches that are kept for other hosts at
+	// the same index.
 	maxCachedBatches = 8
+	maxCachedBytes   = 2 << 20
 )
 
 // batchKey identifies a batch by the indexes of its first and last change.
@@ -28,6 +30,8 @@
 type batchCache struct {
 	encoded map[batchKey][]byte
 	order   []batchKey
+	// size is the size of all batches in bytes.
+	size int
 }
 
 // encode returns the compressed encoding of changes that follow each other in the log.
@@ -47,7 +51,9 @@
 	if batchcache.encoded == nil {
 		batchcache.encoded = map[batchKey][]byte{}
 	}
-	if len(batchcache.order) == maxCachedBatches {
+	batchcache.size += len(data)
+	for len(batchcache.order) > 0 && (len(batchcache.order) >= maxCachedBatches || batchcache.size > maxCachedBytes) {
+		batchcache.size -= len(batchcache.encoded[batchcache.order[0]])
 		delete(batchcache.encoded, batchcache.order[0])
 		batchcache.order = batchcache.order[1:]
 	}
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -46,9 +46,18 @@
 	// deltaLimit is how many catalog commands remain in memory for lagging hosts
 	// when the list is trimmed, which happens beyond twice this number.
 	deltaLimit = 4096
+	// maxDeltaBytes is how many bytes of catalog commands remain in memory for lagging
+	// hosts, at most; like deltaLimit it may be exceeded twofold. Hosts that need more get
+	// the whole catalog.
+	maxDeltaBytes = 2 << 20
+	// maxPendingBytes bounds the commands that are proposed and not applied yet.
+	maxPendingBytes = 16 << 20
 	// DefaultSnapshotEvery is the default number of entries between two
 	// snapshots.
 	DefaultSnapshotEvery = 20000
+	// DefaultSnapshotBytes is the default number of bytes of commands between two
+	// snapshots.
+	DefaultSnapshotBytes = 4 << 20
 	// logPrefix is the prefix of all log lines of this package.
 	logPrefix = "control: "
 )
@@ -67,6 +76,9 @@
 	// SnapshotEvery is the number of entries between two snapshots; 0 means
 	// DefaultSnapshotEvery.
 	SnapshotEvery uint64
+	// SnapshotBytes is the number of bytes of commands between two snapshots, or the
+	// size of the last snapshot if that is more; 0 means DefaultSnapshotBytes.
+	SnapshotBytes int
 	// DisableGroupCommit disables group commit: each proposal is synced to disk
 	// separately. It serves as the baseline in benchmarks.
 	DisableGroupCommit bool
@@ -107,7 +119,9 @@
 
 // pendingProposal is a proposal whose entry has not been applied yet.
 type pendingProposal struct {
-	term  uint64
+	term uint64
+	// size is the length of its command in bytes.
+	size  int
 	reply chan proposeAnswer
 }
 
@@ -131,6 +145,8 @@
 	hardState  raft.HardState
 	// proposals maps log indexes to the proposals pending there.
 	proposals map[uint64]pendingProposal
+	// pendingBytes is the size of the commands of all proposals.
+	pendingBytes int
 	// reads maps read IDs to the channels that receive the index of the read, or 0
 	// if the member is not the leader.
 	reads    map[uint64]chan uint64
@@ -138,6 +154,7 @@
 	// deltas holds all catalog commands after the index deltaBase.
 	deltas         []Delta
 	deltaBase      uint64
+	deltaBytes     int
 	pendingFetches []fetchRequest
 	senders        map[raft.MemberID]*sender
 	// peerAddresses maps members to the address that their latest message named
@@ -151,9 +168,11 @@
 	// if there are none.
 	answerAt        time.Time
 	snapshotRunning bool
-	changed         chan struct{}
-	server          *server
-	failed          error
+	// logBytes is the size of the commands applied since the last snapshot.
+	logBytes int
+	changed  chan struct{}
+	server   *server
+	failed   error
 }
 
 // ProgressSource reports how far the catalogs of live hosts have advanced.
@@ -187,6 +206,9 @@
 	if options.SnapshotEvery == 0 {
 		options.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if options.SnapshotBytes == 0 {
+		options.SnapshotBytes = DefaultSnapshotBytes
+	}
 	options.Timing = options.Timing.withDefaults()
 	node := &Node{
 		options:       options,
@@ -397,13 +419,19 @@
 // propose appends all proposed commands of the batch to the log at once, except
 // those that are bound to a term in which this member does not lead now.
 func (node *Node) propose(work *batchWork) {
+	accepted := node.pendingBytes
 	proposals := slices.DeleteFunc(work.proposals, func(proposal proposeRequest) bool {
 		leads := node.core.Role() == raft.RoleLeader && node.core.Term() == proposal.term
-		if !proposal.inTerm || leads {
-			return false
+		switch {
+		case proposal.inTerm && !leads:
+			proposal.reply <- proposeAnswer{notLeader: true}
+			return true
+		case accepted > 0 && accepted+len(proposal.command) > maxPendingBytes:
+			proposal.reply <- proposeAnswer{err: errTooMuchPending}
+			return true
 		}
-		proposal.reply <- proposeAnswer{notLeader: true}
-		return true
+		accepted += len(proposal.command)
+		return false
 	})
 	if len(proposals) == 0 {
 		return
@@ -419,13 +447,24 @@
 			continue
 		}
 		index := output.FirstIndex + uint64(offset)
-		if earlier, ok := node.proposals[index]; ok {
+		if earlier, ok := node.takeProposal(index); ok {
 			earlier.reply <- proposeAnswer{err: Error.New("another entry was proposed in place of entry %d", index)}
 		}
-		node.proposals[index] = pendingProposal{term: node.core.Term(), reply: proposal.reply}
+		node.proposals[index] = pendingProposal{term: node.core.Term(), size: len(proposal.command), reply: proposal.reply}
+		node.pendingBytes += len(proposal.command)
 	}
 }
 
+// takeProposal removes and returns the proposal pending at an index.
+func (node *Node) takeProposal(index uint64) (pendingProposal, bool) {
+	proposal, ok := node.proposals[index]
+	if ok {
+		delete(node.proposals, index)
+		node.pendingBytes -= proposal.size
+	}
+	return proposal, ok
+}
+
 // processOutputs persists the outputs of the batch, sends their messages and
 // applies committed entries. Append requests are sent before the local disk
 // syncs; all other messages wait for the sync.
@@ -578,6 +617,9 @@
 	return answer.result, answer.err
 }
 
+// errTooMuchPending is returned for a proposal that was not appended to the log.
+var errTooMuchPending = Error.New("commands of %d bytes or more wait for their commit", maxPendingBytes)
+
 // ErrNotLeader is returned by a member that is not the leader. Nothing was
 // proposed or read.
 var ErrNotLeader = Error.New("this control host is not the leader")
--- a/internal/control/group/sender.go
+++ b/internal/control/group/sender.go
@@ -2,20 +2,28 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 
 	"damaskcrank.example/damaskcrank/internal/control/raft"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
-// senderQueueSize bounds the messages queued for one member. Messages beyond it
-// are dropped; Raft resends what is needed.
-const senderQueueSize = 256
+const (
+	// senderQueueSize and maxQueuedBytes bound the messages queued for one member. Messages
+	// beyond them are dropped; Raft resends what is needed.
+	senderQueueSize = 256
+	maxQueuedBytes  = 4 << 20
+	// maxDeliveryBytes bounds the messages of one call, unless there is only one.
+	maxDeliveryBytes = 1 << 20
+)
 
 // sender delivers messages to one member in batches.
 type sender struct {
 	address netip.AddrPort
 	queue   chan raft.Envelope
-	stop    chan struct{}
+	// queued is the size of the queued messages in bytes.
+	queued atomic.Int64
+	stop   chan struct{}
 }
 
 func newSender(node *Node, address netip.AddrPort) *sender {
@@ -41,12 +49,15 @@
 	}
 }
 
-// drainQueue returns the first message together with all queued ones.
+// drainQueue returns the first message together with queued ones, up to maxDeliveryBytes.
 func (sender *sender) drainQueue(first raft.Envelope) []raft.Envelope {
-	envelopes := []raft.Envelope{first}
-	for range senderQueueSize {
+	envelopes, size := []raft.Envelope{first}, first.Size()
+	sender.queued.Add(-int64(size))
+	for len(envelopes) <= senderQueueSize && size < maxDeliveryBytes {
 		select {
 		case envelope := <-sender.queue:
+			sender.queued.Add(-int64(envelope.Size()))
+			size += envelope.Size()
 			envelopes = append(envelopes, envelope)
 			continue
 		default:
@@ -56,10 +67,17 @@
 	return envelopes
 }
 
+// send queues a message, or drops it if too many bytes wait. Only the event loop calls it.
 func (sender *sender) send(envelope raft.Envelope) {
+	size := int64(envelope.Size())
+	if waiting := sender.queued.Load(); size > 0 && waiting > 0 && waiting+size > maxQueuedBytes {
+		return
+	}
+	sender.queued.Add(size)
 	select {
 	case sender.queue <- envelope:
 	default:
+		sender.queued.Add(-size)
 	}
 }
 
--- a/internal/control/items/items.go
+++ b/internal/control/items/items.go
@@ -190,6 +190,45 @@
 	return next, OutcomeDone, nil
 }
 
+// Trim returns the changes that may have an effect on the set or on any later one: those
+// above the present version, and those that conflict with it. It returns an error if any
+// change is invalid by itself.
+func (set Set) Trim(changes []Item) ([]Item, error) {
+	var trimmed []Item
+	for _, change := range changes {
+		if err := change.validate(); err != nil {
+			return nil, err
+		}
+		present, exists := set.Items[change.key()]
+		if !exists || change.Version > present.Version || change.Version == present.Version && !change.equal(present) {
+			trimmed = append(trimmed, change)
+		}
+	}
+	return trimmed, nil
+}
+
+// itemBytes is the size in bytes of what an item takes beyond its name and its source.
+const itemBytes = 64
+
+// size returns about how many bytes an item takes when it is encoded.
+func (item Item) size() int { return itemBytes + len(item.Name) + len(item.Source) }
+
+// SizeWith returns about how many bytes the set takes when it is encoded, once it has the
+// changes.
+func (set Set) SizeWith(changes []Item) int {
+	size := 0
+	for _, item := range set.Items {
+		size += item.size()
+	}
+	for _, change := range changes {
+		size += change.size() - set.Items[change.key()].size()
+		if _, exists := set.Items[change.key()]; !exists {
+			size += itemBytes
+		}
+	}
+	return size
+}
+
 // validate checks the references between items: no caller key may belong to two
 // workspaces, and changed routes may name known services only.
 func (set Set) validate(changed map[string]bool) error {
--- a/internal/control/items/items_test.go
+++ b/internal/control/items/items_test.go
@@ -103,3 +103,44 @@
 	is.True(!known)
 	is.Equal(len(set.Active()), 4)
 }
+
+// TestTrim guards against unchanged items that stay in a change, and against changes that are
+// dropped although they have an effect, conflict or are invalid.
+func TestTrim(t *testing.T) {
+	service, route := newService("jobs", 3), newRoute("r", "/a/", "jobs", 3)
+	set, _, err := Set{}.Merge([]Item{service, route, newRoute("gone", "/g/", "jobs", 1), deleted(newRoute("gone", "/g/", "jobs", 1), 4)})
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name    string
+		changes []Item
+		left    int
+		invalid bool
+	}{
+		{"resent", []Item{service, route}, 0, false},
+		{"older", []Item{newRoute("r", "/b/", "jobs", 2)}, 0, false},
+		{"newer", []Item{service, newRoute("r", "/b/", "jobs", 4)}, 1, false},
+		{"new", []Item{newRoute("s", "/b/", "jobs", 1)}, 1, false},
+		{"other content under the same version", []Item{newRoute("r", "/b/", "jobs", 3)}, 1, false},
+		{"deletion", []Item{deleted(route, 4)}, 1, false},
+		{"deletion under the version in force", []Item{deleted(route, 3)}, 1, false},
+		{"older than a deletion", []Item{newRoute("gone", "/g/", "jobs", 3)}, 0, false},
+		{"deletion resent", []Item{deleted(route, 2), deleted(newRoute("gone", "", "", 0), 4)}, 0, false},
+		{"older and invalid", []Item{invalidRoute(func(route *Route) { route.Timeout = 0 }), route}, 0, true},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			trimmed, err := set.Trim(testcase.changes)
+			is.Equal(err != nil, testcase.invalid)
+			is.Equal(len(trimmed), testcase.left)
+			_, whole, _ := set.Merge(testcase.changes)
+			if _, outcome, _ := set.Merge(trimmed); !testcase.invalid {
+				is.Equal(outcome, whole)
+			}
+		})
+	}
+	grown := append([]Item{}, newRoute("s", "/b/", "jobs", 1))
+	is := is.New(t)
+	is.Equal(set.SizeWith(grown), set.SizeWith(nil)+grown[0].size())
+	is.Equal(set.SizeWith([]Item{route}), set.SizeWith(nil))
+}
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -8,6 +8,8 @@
 const (
 	// defaultMaxBatch is the default of Config.MaxBatch, in entries.
 	defaultMaxBatch = 256
+	// defaultMaxBatchBytes is the default of Config.MaxBatchBytes, in bytes.
+	defaultMaxBatchBytes = 512 << 10
 	// leaseTenths is the duration of a leader's lease in tenths of the election
 	// timeout. The rest allows for clocks that run at different rates.
 	leaseTenths = 9
@@ -104,6 +106,9 @@
 	if config.MaxBatch == 0 {
 		config.MaxBatch = defaultMaxBatch
 	}
+	if config.MaxBatchBytes == 0 {
+		config.MaxBatchBytes = defaultMaxBatchBytes
+	}
 	core := &Core{
 		config:          config,
 		hardState:       hardState,
@@ -140,6 +145,9 @@
 // SnapshotIndex returns the index up to which the log is compacted.
 func (core *Core) SnapshotIndex() uint64 { return core.log.snapshot.Index }
 
+// SnapshotSize returns the size of the latest snapshot in bytes.
+func (core *Core) SnapshotSize() int { return len(core.log.snapshot.Data) }
+
 // Members returns the membership in effect, which may not be committed yet.
 func (core *Core) Members() Members { return core.members.Clone() }
 
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -179,7 +179,7 @@
 		return
 	}
 	last := min(core.log.lastIndex(), peer.next-1+uint64(core.config.MaxBatch))
-	entries := slices.Clone(core.log.slice(peer.next, last))
+	entries := slices.Clone(firstBytes(core.log.slice(peer.next, last), core.config.MaxBatchBytes))
 	core.send(id, AppendRequest{
 		Term:      core.hardState.Term,
 		PrevIndex: peer.next - 1,
@@ -191,6 +191,18 @@
 	peer.next += uint64(len(entries))
 }
 
+// firstBytes returns the first entries whose data together has at most limit bytes, but at
+// least one.
+func firstBytes(entries []Entry, limit int) []Entry {
+	for position, entry := range entries {
+		limit -= len(entry.Data)
+		if limit < 0 && position > 0 {
+			return entries[:position]
+		}
+	}
+	return entries
+}
+
 func (core *Core) sendSnapshot(id MemberID, peer *progress, now time.Time) {
 	if now.Sub(peer.snapshotSentAt) < core.config.ElectionTimeout*snapshotRetryFactor {
 		return
--- a/internal/control/raft/raft_test.go
+++ b/internal/control/raft/raft_test.go
@@ -425,3 +425,22 @@
 	is.Equal(core.Role(), RoleLeader)
 	is.True(group.now.Before(core.LeaseEnd()))
 }
+
+// TestAppendsAreBoundedByBytes guards against a member that was away and is sent hundreds of
+// large entries in one message.
+func TestAppendsAreBoundedByBytes(t *testing.T) {
+	is := is.New(t)
+	entries := make([]Entry, 0, 4)
+	for _, size := range []int{40, 50, 20, 300} {
+		entries = append(entries, Entry{Data: make([]byte, size)})
+	}
+	const limit = 100
+	is.Equal(len(firstBytes(entries, limit)), 2)
+	is.Equal(len(firstBytes(entries[2:], limit)), 1)
+	is.Equal(len(firstBytes(entries[3:], limit)), 1) // larger than the limit by itself
+	is.Equal(len(firstBytes(nil, limit)), 0)
+	group := newGroup(3, 1, t.Fatalf)
+	for _, core := range group.cores {
+		is.Equal(core.config.MaxBatchBytes, defaultMaxBatchBytes)
+	}
+}
--- a/internal/control/raft/types.go
+++ b/internal/control/raft/types.go
@@ -132,6 +132,22 @@
 	Message Message
 }
 
+// Size returns the size in bytes of the commands or the state that the message carries.
+func (envelope Envelope) Size() int {
+	switch message := envelope.Message.(type) {
+	case AppendRequest:
+		size := 0
+		for _, entry := range message.Entries {
+			size += len(entry.Data)
+		}
+		return size
+	case SnapshotRequest:
+		return len(message.Snapshot.Data)
+	default:
+		return 0
+	}
+}
+
 // VoteRequest requests a vote, or a pre-vote if PreVote is set. Transfer marks
 // an election that the leader asked for: voters then ignore that they recently
 // heard from that leader.
@@ -270,6 +286,8 @@
 	HeartbeatInterval time.Duration
 	// MaxBatch bounds the entries in one AppendRequest; 0 means 256.
 	MaxBatch int
+	// MaxBatchBytes bounds their data, unless there is only one; 0 means 512 KiB.
+	MaxBatchBytes int
 	// Random returns a random number in [0, n).
 	Random func(n int64) int64
 }
--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"strings"
 
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/control/spans"
@@ -188,11 +189,22 @@
 		result.Outcome = OutcomeInvalid
 	}
 	if err != nil {
-		result.Detail = err.Error()
+		result.Detail = shortenDetail(err.Error())
 	}
 	return result
 }
 
+// maxDetailBytes bounds the text of a result, which is kept for repeats of its proposal.
+const maxDetailBytes = 256
+
+// shortenDetail bounds the text of a result, which may quote names of any length.
+func shortenDetail(text string) string {
+	if len(text) <= maxDetailBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxDetailBytes-len("...")], "") + "..."
+}
+
 // mark changes instances that are still the given processes.
 func (catalog *Catalog) mark(owners []spans.Owner, change func(instance *Instance)) {
 	catalog.Instances = maps.Clone(catalog.Instances)
--- a/internal/control/state/direct_test.go
+++ b/internal/control/state/direct_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
+	"time"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
+	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 )
 
@@ -96,3 +100,18 @@
 	_, second := catalog.Apply(6, change)
 	is.Equal(second.Outcome, OutcomeStale) // the table has changed since
 }
+
+// TestDetailsAreBounded guards against results that are kept for repeats and quote names of
+// any length.
+func TestDetailsAreBounded(t *testing.T) {
+	is := is.New(t)
+	catalog, result := (&Catalog{}).Apply(1, PutItems{Items: []items.Item{{
+		Kind: items.KindRoute, Name: strings.Repeat("ü", maxDetailBytes), Version: 1, Route: &items.Route{
+			Timeout: time.Second, Attempts: 1, Split: []items.WeightedService{{Service: "nobody", Weight: 1}},
+		},
+	}}})
+	is.Equal(result.Outcome, OutcomeInvalid)
+	is.True(len(result.Detail) <= maxDetailBytes)
+	is.True(utf8.ValidString(result.Detail))
+	is.Equal(len(catalog.Items.Items), 0)
+}
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -3,9 +3,11 @@
 package store
 
 import (
+	"bufio"
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -31,6 +33,8 @@
 	fileMode        = 0o600
 	// identityBytes is the length of a disk's random identity.
 	identityBytes = 6
+	// readBufferBytes is the size of the buffer for reading the log.
+	readBufferBytes = 64 << 10
 )
 
 // Batch is a hard state and entries that are made durable with one sync.
@@ -101,16 +105,34 @@
 		return Restored{}, err
 	}
 	disk.snapshotIndex = restored.Snapshot.Index
-	data, err := os.ReadFile(disk.path(logName))
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return Restored{}, Error.New("read log: %w", err)
+	valid, err := disk.replayLog(&restored)
+	if err != nil {
+		return Restored{}, err
+	}
+	return restored, disk.openLog(valid)
+}
+
+// replayLog applies the log's frames, one at a time, and returns the length in bytes of the
+// valid part.
+func (disk *Disk) replayLog(restored *Restored) (int64, error) {
+	file, err := os.Open(disk.path(logName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, Error.New("open log: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	info, err := file.Stat()
+	if err != nil {
+		return 0, Error.New("read the size of the log: %w", err)
 	}
-	valid, err := replay(data, &restored)
+	valid, err := replay(file, info.Size(), restored)
 	if err != nil {
-		return Restored{}, Error.New("replay log %s: %w", disk.path(logName), err)
+		return 0, Error.New("replay log %s: %w", disk.path(logName), err)
 	}
-	restored.TornBytes = len(data) - valid
-	return restored, disk.openLog(int64(valid))
+	restored.TornBytes = int(info.Size() - valid)
+	return valid, nil
 }
 
 // identity reads the disk's identity, or generates one for a new disk.
@@ -154,16 +176,19 @@
 // replaceAdvice tells the operator what to do about a disk that may have lost entries.
 const replaceAdvice = "move the data folder away and run 'damaskcrank member replace' for this host on another one"
 
-// replay applies the log's frames and returns the length in bytes of the valid part.
-func replay(data []byte, restored *Restored) (int, error) {
-	valid := 0
-	for valid < len(data) {
-		payload, length, err := codec.NextFrame(data[valid:])
+// replay applies the frames of a log of the given size and returns the length in bytes of
+// the valid part.
+func replay(file io.ReaderAt, size int64, restored *Restored) (int64, error) {
+	valid := int64(0)
+	reader := bufio.NewReaderSize(io.NewSectionReader(file, 0, size), readBufferBytes)
+	for valid < size {
+		payload, length, err := codec.ReadFrame(reader, size-valid)
+		var invalid *codec.FrameError
+		if errors.As(err, &invalid) {
+			return valid, checkTorn(file, valid, size, err)
+		}
 		if err != nil {
-			if codec.ContainsFrame(data[valid+1:]) {
-				return 0, Error.New("corrupt at byte %d, before its last write (%w): %s", valid, err, replaceAdvice)
-			}
-			return valid, nil
+			return 0, Error.New("read frame at byte %d: %w", valid, err)
 		}
 		var batch Batch
 		if err := codec.Unmarshal(payload, &batch); err != nil {
@@ -172,11 +197,23 @@
 		if err := restored.apply(batch); err != nil {
 			return 0, Error.New("apply frame at byte %d: %w", valid, err)
 		}
-		valid += length
+		valid += int64(length)
 	}
 	return valid, nil
 }
 
+// checkTorn returns an error unless the invalid frame at a byte of the log is its last write.
+func checkTorn(file io.ReaderAt, at, size int64, cause error) error {
+	rest := make([]byte, size-at-1)
+	if _, err := file.ReadAt(rest, at+1); err != nil && !errors.Is(err, io.EOF) {
+		return Error.New("read the log after byte %d: %w", at, err)
+	}
+	if codec.ContainsFrame(rest) {
+		return Error.New("corrupt at byte %d, before its last write (%w): %s", at, cause, replaceAdvice)
+	}
+	return nil
+}
+
 // apply applies one batch of the log. It skips entries that the snapshot contains. An
 // entry at an index that is already present replaces that entry and all after it.
 func (restored *Restored) apply(batch Batch) error {
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -46,8 +46,8 @@
 	// leaving is set if the upstream says in its answers that it leaves.
 	leaving bool
 	// conns are the connections on which requests came.
-	conns sync.Map
-	server  *httptest.Server
+	conns  sync.Map
+	server *httptest.Server
 }
 
 // host is a host whose path to the upstream may be cut. Others that call it get the error
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -37,6 +37,9 @@
 	// snapshotEvery is the number of log entries between two snapshots. It is low
 	// because disks are small; catalogs, and so snapshots, are small too.
 	snapshotEvery = 4000
+	// maxConfigurationBytes bounds the whole configuration, which control hosts hold in
+	// memory several times. Items take more than in a call, which names their fields once.
+	maxConfigurationBytes = 4 * maxCallBytes
 	// stopTimeout bounds, when a control host stops, first the handover of
 	// leadership and then the wait for running HTTP requests.
 	stopTimeout = 500 * time.Millisecond
@@ -125,7 +128,7 @@
 
 func (control *Control) listen(handler http.Handler) error {
 	var err error
-	control.server, err = serveHTTP(control.options.Settings.Listen.Control, handler, control.options.Log)
+	control.server, err = serveHTTP(control.options.Settings.Listen.Control, new(bodies).limit(handler), control.options.Log)
 	if err != nil {
 		return err
 	}
@@ -196,13 +199,29 @@
 	return nil
 }
 
-// PutItems commits changes of configuration items.
+// ErrTooLarge is returned for a change with which the configuration would be too large.
+var ErrTooLarge = Error.New("the configuration would take more than %d bytes", maxConfigurationBytes)
+
+// PutItems commits changes of configuration items. Operators may send the whole
+// configuration with each change; only what may have an effect is committed.
 func (control *Control) PutItems(ctx context.Context, changes []items.Item) (state.Result, error) {
-	result, err := control.propose(ctx, state.PutItems{Items: changes})
+	catalog := control.node.Catalog()
+	trimmed, err := catalog.Items.Trim(changes)
+	switch {
+	case err != nil:
+		return state.Result{Index: catalog.Index, Outcome: state.OutcomeInvalid, Detail: err.Error()}, nil
+	case len(trimmed) == 0:
+		return state.Result{Index: catalog.Index, Outcome: state.OutcomeResent}, nil
+	case catalog.Items.SizeWith(trimmed) > maxConfigurationBytes:
+		control.options.Log.WithField("items", len(trimmed)).WithField("bound", maxConfigurationBytes).
+			Warn(logPrefix + "refused a configuration change: the configuration would be too large")
+		return state.Result{}, ErrTooLarge
+	}
+	result, err := control.propose(ctx, state.PutItems{Items: trimmed})
 	if err != nil {
 		return result, err
 	}
-	control.options.Log.WithField("items", len(changes)).WithField("outcome", string(result.Outcome)).
+	control.options.Log.WithField("items", len(trimmed)).WithField("sent", len(changes)).WithField("outcome", string(result.Outcome)).
 		WithField("detail", result.Detail).WithField("version", result.Index).Info(logPrefix + "processed a configuration change")
 	return result, nil
 }
--- /dev/null
+++ b/internal/fleet/direct/control_test.go
@@ -0,0 +1,181 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/base/conf"
+	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// longTimeout is far longer than any change of a control host on loopback takes.
+const longTimeout = time.Minute
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // only reserves a port
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// startTestControl starts a control host that forms a group of its own, and waits until it
+// leads.
+func startTestControl(t *testing.T) *Control {
+	t.Helper()
+	peer := freeAddress(t)
+	settings := conf.DirectSettings{
+		Host:   conf.DirectHost{Name: "core", DataCentre: "here", DataFolder: t.TempDir(), FirstStart: true},
+		Listen: conf.DirectListen{Control: freeAddress(t).String()},
+		Peer:   conf.DirectPeer{Address: peer, Seeds: []netip.AddrPort{peer}, Secret: "a secret of test hosts"},
+	}
+	control, err := StartControl(Options{
+		Settings: settings, Reload: func() (conf.DirectSettings, error) { return settings, nil },
+		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: discard.New()}, Stats: &stats.Set{},
+	}, func(*Control) http.Handler { return http.NotFoundHandler() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(control.Kill)
+	deadline := time.Now().Add(longTimeout)
+	for !control.node.HoldsLease() {
+		if time.Now().After(deadline) {
+			t.Fatal("the control host does not lead")
+		}
+		time.Sleep(tickInterval)
+	}
+	return control
+}
+
+// wholeConfiguration returns a service and a number of its routes, all under the version but
+// one that has the next one.
+func wholeConfiguration(routes int, version uint64, changed int) []items.Item {
+	changes := []items.Item{{Kind: items.KindService, Name: "jobs", Version: version, Source: []byte("{}"), Service: &items.Service{}}}
+	for number := range routes {
+		of := version
+		if number == changed {
+			of++
+		}
+		name := fmt.Sprintf("r-%06d", number)
+		changes = append(changes, items.Item{
+			Kind: items.KindRoute, Name: name, Version: of, Source: fmt.Appendf(nil, "%-100s", name+fmt.Sprint(of)),
+			Route: &items.Route{Host: "host", Prefix: "/" + name + "/", Timeout: time.Second, Attempts: 1, Split: []items.WeightedService{{Service: "jobs", Weight: 1}}},
+		})
+	}
+	return changes
+}
+
+func (control *Control) logSize(t *testing.T) int64 {
+	t.Helper()
+	info, err := os.Stat(filepath.Join(control.options.Settings.Host.DataFolder, "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return info.Size()
+}
+
+// TestLargeChanges guards against control hosts that run out of memory, and can't start any
+// more, after a few hundred changes of an operator who sends the whole configuration with
+// each: whether most of it is unchanged or nothing can be left out.
+func TestLargeChanges(t *testing.T) {
+	const routes, changes = 700, 100
+	cases := []struct {
+		name string
+		// change returns the configuration that a change carries.
+		change func(number int) []items.Item
+		// bound is that of the log in bytes.
+		bound int64
+	}{
+		{"one route changes", func(number int) []items.Item { return wholeConfiguration(routes, 1, number) }, changes * 4 << 10},
+		{"all versions rise", func(number int) []items.Item { return wholeConfiguration(routes, uint64(number+2), -1) }, 12 << 20},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			control := startTestControl(t)
+			ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+			defer cancel()
+			_, err := control.PutItems(ctx, wholeConfiguration(routes, 1, -1))
+			is.NoErr(err)
+			before := control.logSize(t)
+			for number := range changes {
+				result, err := control.PutItems(ctx, testcase.change(number))
+				is.NoErr(err)
+				is.Equal(result.Outcome, state.OutcomeDone)
+			}
+			is.True(control.logSize(t)-before <= testcase.bound)
+			inForce, err := control.Items(ctx)
+			is.NoErr(err)
+			is.Equal(len(inForce), routes+1)
+			resent, err := control.PutItems(ctx, testcase.change(changes-1))
+			is.NoErr(err)
+			is.Equal(resent.Outcome, state.OutcomeResent)
+		})
+	}
+}
+
+// TestConfigurationIsBounded guards against control hosts that accept more than they can
+// hold: what would be too large is refused, and what was acknowledged stays.
+func TestConfigurationIsBounded(t *testing.T) {
+	is := is.New(t)
+	control := startTestControl(t)
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+	defer cancel()
+	_, err := control.PutItems(ctx, wholeConfiguration(10, 1, -1))
+	is.NoErr(err)
+	_, err = control.PutItems(ctx, wholeConfiguration(maxConfigurationBytes/100, 2, -1))
+	is.True(errors.Is(err, ErrTooLarge))
+	inForce, err := control.Items(ctx)
+	is.NoErr(err)
+	is.Equal(len(inForce), 11)
+	is.Equal(inForce[0].Version, uint64(1))
+}
+
+// TestBodiesOfCallsAreBounded guards against calls with long bodies that together take the
+// memory of a control host.
+func TestBodiesOfCallsAreBounded(t *testing.T) {
+	is := is.New(t)
+	const fitting = maxBodiesBytes / maxCallBytes
+	var limited bodies
+	// A call calls the next while it holds its own body.
+	var nested http.Handler
+	var errs []error
+	nested = limited.limit(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		_, err := io.Copy(io.Discard, request.Body)
+		errs = append(errs, err)
+		if len(errs) <= fitting {
+			nested.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, maxCallBytes))))
+		}
+	}))
+	nested.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, maxCallBytes))))
+	for _, err := range errs[:fitting] {
+		is.NoErr(err)
+	}
+	is.True(errors.Is(errs[fitting], ErrBusy))
+	is.Equal(limited.total.Load(), int64(0))
+	long := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", maxCallBytes+1)))
+	nested.ServeHTTP(httptest.NewRecorder(), long)
+	var maxBytesErr *http.MaxBytesError
+	is.True(errors.As(errs[fitting+1], &maxBytesErr))
+}
