Look at the sockets of connections in one place

Two packages peeked at sockets, and control hosts need it next, to see whether the client of a call has left.

--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -23,6 +23,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+
+	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
 
 // Error is the class of all errors of this package.
@@ -459,35 +461,19 @@
 	stateClosed
 )
 
-// state peeks at the socket of an idle connection without blocking.
+// state peeks at an idle connection without blocking.
 func (conn *conn) state() connState {
 	if conn.reader.Buffered() > 0 {
 		return stateUnexpected
 	}
-	raw, ok := conn.Conn.(syscall.Conn)
-	if !ok {
-		return stateClosed
-	}
-	rawConn, err := raw.SyscallConn()
-	if err != nil {
-		return stateClosed
-	}
-	state := stateClosed
-	err = rawConn.Read(func(descriptor uintptr) bool {
-		var buffer [1]byte
-		count, _, recvErr := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(recvErr, syscall.EAGAIN):
-			state = stateUsable
-		case recvErr == nil && count > 0:
-			state = stateUnexpected
-		}
-		return true
-	})
-	if err != nil {
+	switch sock.Peek(conn.Conn) {
+	case sock.Quiet:
+		return stateUsable
+	case sock.Readable:
+		return stateUnexpected
+	default:
 		return stateClosed
 	}
-	return state
 }
 
 // receive reads the response that belongs to the request, and reports whether the
--- a/internal/dispatch/upstr/guard.go
+++ b/internal/dispatch/upstr/guard.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
-	"syscall"
+
+	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
 
 var (
@@ -126,22 +126,8 @@
 	return true
 }
 
-// holdsBytes reports whether a socket holds unread bytes or has ended. It peeks without
-// blocking and without waiting for a concurrent read.
+// holdsBytes reports whether a socket holds unread bytes or has ended.
 func holdsBytes(conn net.Conn) bool {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	holds := false
-	err = rawConn.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		holds = err == nil || errors.Is(err, syscall.ECONNRESET)
-	})
-	return err == nil && holds
+	state := sock.Peek(conn)
+	return state == sock.Readable || state == sock.Ended
 }
