Carry out orders without a version only while their client waits for them

Cause: a control host that stood still read the copy from its socket when it woke, and had it committed. Orders have neither a version nor an age; their client had given the copy up seconds before, and closed its connection.

A host now asks the leader for a ticket, waits 100 ms, looks whether the client still waits, and proposes with the ticket, which is invalid once another evacuation was appended, the term has ended or a second has passed. So neither a copy in a socket nor one held up between hosts can undo a later order, in either direction. Changes of the configuration get tickets, too: one that was refused came into force later if a late copy of it had become valid. A deregistration is bound to the process that was registered when it came. Leaders of earlier versions issue no tickets; orders are then proposed as before.

--- a/internal/control/group/bytes_test.go
+++ b/internal/control/group/bytes_test.go
@@ -134,13 +134,7 @@
 // large commands without end.
 func TestProposalsInProgressAreBounded(t *testing.T) {
 	is := is.New(t)
-	node, clock := loadNode(t)
-	member := raft.Member{ID: node.id, Address: node.options.Address}
-	is.NoErr(node.form(formation{members: raft.Members{Voters: []raft.Member{member}}}, &batchWork{}))
-	for node.core.Role() != raft.RoleLeader {
-		clock.Advance(node.options.Timing.Election)
-		node.processBatch(nil)
-	}
+	node, _ := loadLeader(t)
 	work, accepted, refused := batchWork{}, 0, 0
 	const size, proposals = 1 << 20, 40
 	var replies []chan proposeAnswer
--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -134,17 +134,21 @@
 // and retries until the context ends, which is safe because each proposal has an
 // identity: a repeat has no further effect and gets the result of the first.
 func (client *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	return client.propose(ctx, Ticket{}, command)
+}
+
+func (client *Client) propose(ctx context.Context, ticket Ticket, command state.Command) (state.Result, error) {
 	data, err := state.EncodeCommand(command)
 	if err != nil {
 		return state.Result{}, Error.New("propose: %w", err)
 	}
 	if state.ChangesLedgerOnly(command) { // those have an identity of their own
-		result, _, err := client.proposeAs(ctx, state.ProposalID{}, data)
+		result, _, err := client.proposeAs(ctx, ProposeArgs{Command: data})
 		return result, err
 	}
 	for {
 		id := client.proposals.begin()
-		result, attempts, err := client.proposeAs(ctx, id, data)
+		result, attempts, err := client.proposeAs(ctx, ProposeArgs{Command: data, ID: id, Ticket: ticket})
 		client.proposals.end(id)
 		if err != nil || result.Outcome != state.OutcomeForgotten {
 			return result, err
@@ -156,17 +160,21 @@
 	}
 }
 
-// proposeAs proposes a command under an identity, and returns the number of attempts.
-func (client *Client) proposeAs(ctx context.Context, id state.ProposalID, command []byte) (result state.Result, attempts int, err error) {
+// proposeAs proposes a command, and returns the number of attempts.
+func (client *Client) proposeAs(ctx context.Context, args ProposeArgs) (result state.Result, attempts int, err error) {
+	stale := false
 	err = client.withLeader(ctx, func(connection *connection) (bool, string, error) {
 		attempts++
 		reply := ProposeReply{}
-		if err := connection.call("Control.Propose", ProposeArgs{Command: command, ID: id}, &reply, proposeAttemptTimeout); err != nil {
+		if err := connection.call("Control.Propose", args, &reply, proposeAttemptTimeout); err != nil {
 			return false, "", err
 		}
-		result = reply.Result
+		result, stale = reply.Result, reply.Stale
 		return !reply.NotLeader, reply.Leader, nil
 	})
+	if err == nil && stale {
+		err = ErrStaleTicket
+	}
 	return result, attempts, err
 }
 
@@ -235,6 +243,9 @@
 	var lastErr error
 	rounds := Backoff{Min: retryDelay, Max: maxRetryDelay}
 	for attempt := 0; ; attempt++ {
+		if ctx.Err() != nil {
+			return noLeaderError(ctx, lastErr)
+		}
 		position, connection, count := client.presumedLeader()
 		leads, hint, err := call(connection)
 		if err == nil && leads {
@@ -286,20 +297,31 @@
 	FromLeader() (leads bool, hint string)
 }
 
+// ErrUnknownMethod is returned for calls of a host whose version does not have the method.
+var ErrUnknownMethod = Error.New("the control host is of an earlier version and does not know the call")
+
 // CallLeader calls a method of another net/rpc service on the leader, retrying
 // as Propose does. Each attempt decodes into a new reply, because gob does not
 // transmit zero fields and would leave values of an earlier attempt in place.
 func CallLeader[T any, P LeaderReply[T]](ctx context.Context, client *Client, method string, args any) (T, error) {
 	var reply T
+	unknown := false
 	err := client.withLeader(ctx, func(connection *connection) (bool, string, error) {
 		var attemptReply T
-		if err := connection.callWithin(ctx, method, args, P(&attemptReply), leaderTimeout); err != nil {
+		err := connection.callWithin(ctx, method, args, P(&attemptReply), leaderTimeout)
+		if unknown = isUnknownMethod(err); unknown {
+			return true, "", nil
+		}
+		if err != nil {
 			return false, "", err
 		}
 		reply = attemptReply
 		leads, hint := P(&attemptReply).FromLeader()
 		return leads, hint, nil
 	})
+	if err == nil && unknown {
+		err = ErrUnknownMethod
+	}
 	return reply, err
 }
 
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -94,12 +94,16 @@
 type ProposeArgs struct {
 	Command []byte
 	ID      state.ProposalID
+	// Ticket is zero for a command that is bound to nothing.
+	Ticket Ticket
 }
 
 // ProposeReply holds the result of a committed command. NotLeader is set if the
-// member is not the leader; Leader is the address of the leader it knows of.
+// member is not the leader; Leader is the address of the leader it knows of. Stale is set if
+// the ticket was not valid.
 type ProposeReply struct {
 	Result    state.Result
+	Stale     bool
 	NotLeader bool
 	Leader    string
 }
@@ -238,13 +242,16 @@
 	// inTerm binds the proposal to term.
 	inTerm bool
 	term   uint64
+	ticket Ticket
 	reply  chan proposeAnswer
 }
 
 type proposeAnswer struct {
 	result    state.Result
 	notLeader bool
-	err       error
+	// stale is set if the ticket is not valid.
+	stale bool
+	err   error
 }
 
 type deliverRequest struct {
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -168,6 +168,7 @@
 	// if there are none.
 	answerAt        time.Time
 	snapshotRunning bool
+	orders          orderCounts
 	// logBytes is the size of the commands applied since the last snapshot.
 	logBytes int
 	changed  chan struct{}
@@ -411,6 +412,9 @@
 		message.reply <- started
 	case snapshotResult:
 		node.finishSnapshot(message, work)
+	case ticketRequest:
+		ticket, ok := node.issueTicket()
+		message.reply <- TicketReply{Ticket: ticket, NotLeader: !ok}
 	case formRequest:
 		message.reply <- node.form(message.first, work)
 	}
@@ -421,15 +425,18 @@
 func (node *Node) propose(work *batchWork) {
 	accepted := node.pendingBytes
 	proposals := slices.DeleteFunc(work.proposals, func(proposal proposeRequest) bool {
-		leads := node.core.Role() == raft.RoleLeader && node.core.Term() == proposal.term
 		switch {
-		case proposal.inTerm && !leads:
+		case proposal.inTerm && !node.leadsIn(proposal.term), proposal.ticket.Term != 0 && !node.leadsIn(node.core.Term()):
 			proposal.reply <- proposeAnswer{notLeader: true}
 			return true
 		case accepted > 0 && accepted+len(proposal.command) > maxPendingBytes:
 			proposal.reply <- proposeAnswer{err: errTooMuchPending}
 			return true
 		}
+		if !node.admits(proposal) {
+			proposal.reply <- proposeAnswer{stale: true}
+			return true
+		}
 		accepted += len(proposal.command)
 		return false
 	})
@@ -455,6 +462,11 @@
 	}
 }
 
+// leadsIn reports whether the member is the leader in the term.
+func (node *Node) leadsIn(term uint64) bool {
+	return node.core.Role() == raft.RoleLeader && node.core.Term() == term
+}
+
 // takeProposal removes and returns the proposal pending at an index.
 func (node *Node) takeProposal(index uint64) (pendingProposal, bool) {
 	proposal, ok := node.proposals[index]
@@ -611,8 +623,11 @@
 	if err != nil {
 		return state.Result{}, err
 	}
-	if answer.notLeader {
+	switch {
+	case answer.notLeader:
 		return state.Result{}, ErrNotLeader
+	case answer.stale:
+		return state.Result{}, ErrStaleTicket
 	}
 	return answer.result, answer.err
 }
@@ -625,6 +640,9 @@
 var ErrNotLeader = Error.New("this control host is not the leader")
 
 func (node *Node) proposeData(ctx context.Context, request proposeRequest) (proposeAnswer, error) {
+	if ctx.Err() != nil {
+		return proposeAnswer{}, Error.New("propose: %w", ctx.Err())
+	}
 	reply := make(chan proposeAnswer, 1)
 	request.reply = reply
 	if err := node.enqueue(ctx, request); err != nil {
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -107,12 +107,13 @@
 func (control *Control) Propose(args ProposeArgs, reply *ProposeReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	answer, err := control.node.proposeData(ctx, proposeRequest{command: args.Command, id: args.ID})
+	answer, err := control.node.proposeData(ctx, proposeRequest{command: args.Command, id: args.ID, ticket: args.Ticket})
 	if err != nil {
 		return err
 	}
 	reply.Result = answer.result
 	reply.NotLeader = answer.notLeader
+	reply.Stale = answer.stale
 	reply.Leader = control.node.leaderAddress()
 	return answer.err
 }
--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strings"
 
+	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/control/spans"
 )
@@ -112,6 +113,12 @@
 func (RemoveEntries) kind() commandKind       { return kindRemoveEntries }
 func (RegisterControlHost) kind() commandKind { return kindRegisterControlHost }
 
+// IsEvacuation reports whether an encoded command starts or ends an evacuation.
+func IsEvacuation(command []byte) bool {
+	var tagged taggedCommand
+	return codec.Unmarshal(command, &tagged) == nil && tagged.Kind == kindEvacuateDataCentre
+}
+
 // applyDirect applies the commands of fleets whose entry hosts send requests
 // directly to upstreams, and reports whether the command was one of them.
 func (catalog *Catalog) applyDirect(index uint64, command Command) (Result, bool) {
--- a/internal/control/steer/departure_test.go
+++ b/internal/control/steer/departure_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/control/spans"
 )
 
 // TestDeregisteredUpstreamStaysDraining guards against an upstream that has deregistered
@@ -35,7 +37,7 @@
 			run(5 * time.Second)
 			leaving := cluster.backends[0]
 			leaving.up = false // its heartbeats don't arrive
-			is.NoErr(cluster.coordinator.Deregister(context.Background(), leaving.instance.ID))
+			is.NoErr(cluster.coordinator.Deregister(context.Background(), spans.Owner{ID: leaving.instance.ID}))
 			run(test.silence)
 			if test.newLeader {
 				cluster.node.term++
@@ -57,7 +59,7 @@
 	cluster := newCluster(2)
 	leaving := cluster.backends[0]
 	leaving.up = false
-	is.NoErr(cluster.coordinator.Deregister(context.Background(), leaving.instance.ID))
+	is.NoErr(cluster.coordinator.Deregister(context.Background(), spans.Owner{ID: leaving.instance.ID}))
 	cluster.clock.Advance(time.Second)
 	cluster.sendHeartbeat(leaving, 0, false)
 	is.True(cluster.node.catalog.Instances[leaving.instance.ID].Draining)
--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -197,15 +197,27 @@
 	coordinator.logCommitted(reserved, result)
 }
 
+// Registered returns the start of the process that is registered under an ID, 0 if there is
+// none.
+func (coordinator *Coordinator) Registered(ctx context.Context, id string) (int64, error) {
+	if _, leads := coordinator.lead(ctx); !leads {
+		return 0, ErrNotLeader
+	}
+	return coordinator.node.Catalog().Instances[id].Born, nil
+}
+
 // Deregister deregisters an upstream that has stopped or is about to stop. It gets
-// no more keys; those that it holds are reassigned once its holds have expired.
-func (coordinator *Coordinator) Deregister(ctx context.Context, id string) error {
+// no more keys; those that it holds are reassigned once its holds have expired. The start of
+// the process is 0 if it is not known.
+func (coordinator *Coordinator) Deregister(ctx context.Context, owner spans.Owner) error {
 	if _, leads := coordinator.lead(ctx); !leads {
 		return ErrNotLeader
 	}
-	instance, known := coordinator.holds.depart(id)
+	id := owner.ID
+	instance, known := coordinator.holds.depart(owner)
 	if !known {
-		coordinator.log.WithField("upstream", id).Info(logPrefix + "upstream deregistered that is not registered now")
+		coordinator.log.WithField("upstream", id).WithField("born", owner.Born).
+			Info(logPrefix + "upstream deregistered that is not registered now")
 		return nil
 	}
 	if !instance.Draining {
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -374,27 +374,48 @@
 	return now.Sub(lastHeartbeat)
 }
 
-// depart records that an upstream has deregistered, and returns it. A deregistration
-// names the ID only, so it is taken for that of the process that is registered. If there
-// is none, it counts for those that were started before it by the upstream's clock, which
-// is compared with the leader's, and are heard within removeAfter. It is known only if the
-// process that is registered has deregistered now.
-func (holdtable *holdTable) depart(id string) (state.Instance, bool) {
+// maxDepartures bounds the deregistrations that are remembered. Upstreams that are not
+// registered may send any number.
+const maxDepartures = 4096
+
+// depart records that an upstream has deregistered, and returns it. If the start of its
+// process is not known, the deregistration is taken for that of the process that is
+// registered. If there is none, it counts for those that were started before it by the
+// upstream's clock, which is compared with the leader's, and are heard within removeAfter. It
+// is known only if the process that is registered has deregistered now.
+func (holdtable *holdTable) depart(owner spans.Owner) (state.Instance, bool) {
 	holdtable.mutex.Lock()
 	defer holdtable.mutex.Unlock()
-	instance, known := holdtable.node.Catalog().Instances[id]
+	instance, known := holdtable.node.Catalog().Instances[owner.ID]
 	now := holdtable.clock.Now()
 	switch {
+	case owner.Born != 0:
+		recordDeparture(holdtable.departed, owner, now)
+		known = known && instance.Born == owner.Born
 	case !known:
-		holdtable.departedIDs[id] = now
+		recordDeparture(holdtable.departedIDs, owner.ID, now)
 	case holdtable.predecessorDeparted(instance.Owner(), now):
 		return instance, false
 	default:
-		holdtable.departed[instance.Owner()] = now
+		recordDeparture(holdtable.departed, instance.Owner(), now)
 	}
 	return instance, known
 }
 
+// recordDeparture adds an upstream to a table, in place of the earliest one if it is full.
+func recordDeparture[K comparable](table map[K]time.Time, upstream K, now time.Time) {
+	if _, present := table[upstream]; !present && len(table) >= maxDepartures {
+		earliest, at := upstream, now
+		for other, departedAt := range table {
+			if departedAt.Before(at) {
+				earliest, at = other, departedAt
+			}
+		}
+		delete(table, earliest)
+	}
+	table[upstream] = now
+}
+
 // predecessorDeparted reports whether an earlier process under the same ID deregistered a
 // moment ago, so that another deregistration is a repeat of its call.
 func (holdtable *holdTable) predecessorDeparted(owner spans.Owner, now time.Time) bool {
--- a/internal/control/steer/interleaving_test.go
+++ b/internal/control/steer/interleaving_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"damaskcrank.example/damaskcrank/internal/control/spans"
 )
 
 // eachSwitch runs a scenario with one switch between operations, once for each seam of
@@ -152,7 +154,7 @@
 	}
 	operation := &operation{name: "deregistration", coordinator: target.coordinator, startedAt: simulation.clock.Now(), timeout: callTimeout}
 	id := upstream.instance.ID
-	simulation.scheduler.start(operation, func() { _ = operation.coordinator.Deregister(context.Background(), id) })
+	simulation.scheduler.start(operation, func() { _ = operation.coordinator.Deregister(context.Background(), spans.Owner{ID: id}) })
 	return operation
 }
 
--- a/internal/control/steer/poll.go
+++ b/internal/control/steer/poll.go
@@ -360,11 +360,47 @@
 	return nil
 }
 
-// Leave deregisters an upstream on behalf of another control host.
+// Leave deregisters an upstream on behalf of another control host of an earlier version.
 func (rpcservice *RPCService) Leave(id string, reply *ForwardReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if rpcservice.coordinator.Deregister(ctx, id) != nil {
+	if rpcservice.coordinator.Deregister(ctx, spans.Owner{ID: id}) != nil {
+		reply.NotLeader, reply.Leader = true, rpcservice.coordinator.leaderAddress()
+	}
+	return nil
+}
+
+// RegisteredReply names the process that is registered under an ID.
+type RegisteredReply struct {
+	NotLeader bool
+	Leader    string
+	// Born is the start of the process, 0 if there is none.
+	Born int64
+}
+
+// FromLeader reports whether the leader sent the reply, and otherwise returns the
+// leader's address if it is known.
+func (registeredreply *RegisteredReply) FromLeader() (leads bool, hint string) {
+	return !registeredreply.NotLeader, registeredreply.Leader
+}
+
+// Registered returns the process that is registered under an ID.
+func (rpcservice *RPCService) Registered(id string, reply *RegisteredReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	born, err := rpcservice.coordinator.Registered(ctx, id)
+	reply.Born = born
+	if err != nil {
+		reply.NotLeader, reply.Leader = true, rpcservice.coordinator.leaderAddress()
+	}
+	return nil
+}
+
+// Depart deregisters a process of an upstream on behalf of another control host.
+func (rpcservice *RPCService) Depart(owner spans.Owner, reply *ForwardReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if rpcservice.coordinator.Deregister(ctx, owner) != nil {
 		reply.NotLeader, reply.Leader = true, rpcservice.coordinator.leaderAddress()
 	}
 	return nil
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -17,6 +17,7 @@
 	"damaskcrank.example/damaskcrank/internal/base/stats"
 	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/items"
+	"damaskcrank.example/damaskcrank/internal/control/spans"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/control/steer"
 	"damaskcrank.example/damaskcrank/internal/peer/trust"
@@ -146,7 +147,7 @@
 			return
 		}
 		if control.node.Status().Leader != "" {
-			if _, err := control.propose(ctx, state.RegisterControlHost{ControlHost: self}); err != nil {
+			if err := control.propose(ctx, state.RegisterControlHost{ControlHost: self}); err != nil {
 				control.options.Log.WithError(err).Debug(logPrefix + "recording the host in the catalog failed, retrying")
 			}
 		}
@@ -159,18 +160,16 @@
 
 // propose commits a command. It forwards the command to the leader if this host
 // does not lead.
-func (control *Control) propose(ctx context.Context, command state.Command) (state.Result, error) {
+func (control *Control) propose(ctx context.Context, command state.Command) error {
 	if control.node.HoldsLease() {
-		result, err := control.node.Propose(ctx, command)
-		if !errors.Is(err, group.ErrNotLeader) {
-			return result, err
+		if _, err := control.node.Propose(ctx, command); !errors.Is(err, group.ErrNotLeader) {
+			return err //nolint:wrapcheck // it says what failed
 		}
 	}
-	result, err := control.client.Propose(ctx, command)
-	if err != nil {
-		return state.Result{}, Error.New("propose: %w", err)
+	if _, err := control.client.Propose(ctx, command); err != nil {
+		return Error.New("propose: %w", err)
 	}
-	return result, nil
+	return nil
 }
 
 // HandleHeartbeat answers an upstream's heartbeat. If this host can't answer
@@ -187,13 +186,27 @@
 	return reply.Answer, nil
 }
 
-// Deregister records that an upstream is leaving, so that it gets no more keys. If
-// this host can't do so as the leader, it forwards the request to the leader.
-func (control *Control) Deregister(ctx context.Context, id string) error {
-	if control.steer.Deregister(ctx, id) == nil {
+// Deregister records that an upstream is leaving, so that it gets no more keys. The start of
+// its process is 0 if the upstream does not state it. If this host can't do so as the leader,
+// it forwards the request to the leader.
+func (control *Control) Deregister(ctx context.Context, owner spans.Owner) error {
+	if owner.Born == 0 {
+		var err error
+		if owner, err = control.registered(ctx, owner.ID); err != nil {
+			return err
+		}
+	}
+	if err := control.awaitCaller(ctx, settleTime); err != nil {
+		return err
+	}
+	if control.steer.Deregister(ctx, owner) == nil {
 		return nil
 	}
-	if _, err := group.CallLeader[steer.ForwardReply](ctx, control.client, "Steer.Leave", id); err != nil {
+	_, err := group.CallLeader[steer.ForwardReply](ctx, control.client, "Steer.Depart", owner)
+	if errors.Is(err, group.ErrUnknownMethod) {
+		_, err = group.CallLeader[steer.ForwardReply](ctx, control.client, "Steer.Leave", owner.ID)
+	}
+	if err != nil {
 		return Error.New("forward deregistration: %w", err)
 	}
 	return nil
@@ -217,7 +230,7 @@
 			Warn(logPrefix + "refused a configuration change: the configuration would be too large")
 		return state.Result{}, ErrTooLarge
 	}
-	result, err := control.propose(ctx, state.PutItems{Items: trimmed})
+	result, err := control.order(ctx, 0, state.PutItems{Items: trimmed})
 	if err != nil {
 		return result, err
 	}
@@ -229,8 +242,10 @@
 // SetEvacuated sets whether a data centre is evacuated. The upstreams of an evacuated
 // data centre get no new work.
 func (control *Control) SetEvacuated(ctx context.Context, dataCentre string, evacuated bool) error {
-	result, err := control.propose(ctx, state.EvacuateDataCentre{Name: dataCentre, Evacuated: evacuated})
+	result, err := control.order(ctx, settleTime, state.EvacuateDataCentre{Name: dataCentre, Evacuated: evacuated})
 	if err != nil {
+		control.options.Log.WithError(err).WithField("dataCentre", dataCentre).WithField("evacuated", evacuated).
+			Warn(logPrefix + "did not change the evacuation of a data centre, or its outcome is unknown")
 		return err
 	}
 	control.options.Log.WithField("dataCentre", dataCentre).WithField("evacuated", evacuated).
@@ -317,8 +332,18 @@
 func ClearSuspect(ctx context.Context, settings conf.DirectSettings, content string) error {
 	client := group.NewClient(settings.ControlHosts(), trust.Secret(settings.Peer.Secret))
 	defer client.Close()
-	if _, err := client.Propose(ctx, state.UpdateSuspects{Cleared: []string{content}}); err != nil {
-		return Error.New("clear suspect %q: %w", content, err)
+	for {
+		ticket, err := client.Ticket(ctx)
+		if err != nil {
+			return Error.New("clear suspect %q: %w", content, err)
+		}
+		_, err = client.ProposeWithTicket(ctx, ticket, state.UpdateSuspects{Cleared: []string{content}})
+		switch {
+		case errors.Is(err, group.ErrStaleTicket):
+		case err != nil:
+			return Error.New("clear suspect %q: %w", content, err)
+		default:
+			return nil
+		}
 	}
-	return nil
 }
--- a/internal/fleet/direct/http.go
+++ b/internal/fleet/direct/http.go
@@ -35,7 +35,8 @@
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(io.Discard, "", 0),
+		ConnContext: withConn,
+		ErrorLog:    stdlog.New(io.Discard, "", 0),
 	}
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
