Ask for caller keys also once no workspace is left

Cause: whether a route needs a key was asked of the workspaces in force. None of them left read as a deployment that never had any.

Keys are needed once there has been a workspace; deleted items are kept, so this outlasts restarts. The same class: an empty key of a workspace let requests without a key pass; a service could be deleted while routes name it, and their requests went out as those of a service without keys (refused now, and 503 for a service that is not in force); a heartbeat without a list of holds counted as one that holds nothing, so that keys that move got a second holder.

relay.TestNoWorkspaceIsLeft, items.TestDeletedWorkspacesKeepRoutesClosed and state.TestDeletedWorkspacesSurviveRestarts fail with the former question.

--- a/internal/control/items/items.go
+++ b/internal/control/items/items.go
@@ -258,6 +258,38 @@
 	return nil
 }
 
+// Orphans returns an error if the changes delete a service that a route still names.
+func (set Set) Orphans(changes []Item) error {
+	next, outcome, _ := set.Merge(changes)
+	if outcome != OutcomeDone {
+		return nil // it is refused for another reason, or has no effect
+	}
+	for _, change := range changes {
+		if !change.Deleted || change.Kind != KindService {
+			continue
+		}
+		if _, ok := next.Service(change.Name); ok {
+			continue
+		}
+		if route, ok := next.routeTo(change.Name); ok {
+			return Error.New("route %q refers to service %q, which is to be deleted", route, change.Name)
+		}
+	}
+	return nil
+}
+
+// routeTo returns the name of a route to the service, if there is one.
+func (set Set) routeTo(service string) (name string, ok bool) {
+	for _, key := range slices.Sorted(maps.Keys(set.Items)) {
+		item := set.Items[key]
+		names := func(weightedservice WeightedService) bool { return weightedservice.Service == service }
+		if item.Route != nil && slices.ContainsFunc(item.Route.Split, names) {
+			return item.Name, true
+		}
+	}
+	return "", false
+}
+
 // Service returns the service with the name, if it is in force.
 func (set Set) Service(name string) (Service, bool) {
 	item, ok := set.Items[string(KindService)+"/"+name]
--- a/internal/control/items/items_test.go
+++ b/internal/control/items/items_test.go
@@ -144,3 +144,62 @@
 	is.Equal(set.SizeWith(grown), set.SizeWith(nil)+grown[0].size())
 	is.Equal(set.SizeWith([]Item{route}), set.SizeWith(nil))
 }
+
+// TestDeletedWorkspacesKeepRoutesClosed guards against routes that are open to everybody
+// since no workspace is left, and against requests without a key that have one.
+func TestDeletedWorkspacesKeepRoutesClosed(t *testing.T) {
+	first, second := newWorkspace("a", 1, "k"), newWorkspace("b", 1, "l")
+	cases := []struct {
+		name  string
+		calls [][]Item
+		needs bool
+	}{
+		{"never had a workspace", [][]Item{{newService("jobs", 1)}}, false},
+		{"has one", [][]Item{{first}}, true},
+		{"one of two deleted", [][]Item{{first, second}, {deleted(first, 2)}}, true},
+		{"last one deleted", [][]Item{{first}, {deleted(first, 2)}}, true},
+		{"both deleted at once", [][]Item{{first, second}, {deleted(first, 2), deleted(second, 2)}}, true},
+		{"deleted and made anew", [][]Item{{first}, {deleted(first, 2)}, {newWorkspace("a", 3, "k")}}, true},
+		{"without keys", [][]Item{{newWorkspace("a", 1)}}, true},
+		{"with an empty key", [][]Item{{newWorkspace("a", 1, "")}}, true},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			set := Set{}
+			for _, call := range testcase.calls {
+				var err error
+				set, _, err = set.Merge(call)
+				is.NoErr(err)
+			}
+			view := set.View()
+			is.Equal(view.NeedsKeys(), testcase.needs)
+			_, _, known := view.KeyOwner("")
+			is.True(!known)
+		})
+	}
+}
+
+// TestOrphans guards against routes whose service is gone: their requests would be sent as
+// those of a service without keys.
+func TestOrphans(t *testing.T) {
+	set, _, err := Set{}.Merge([]Item{newService("jobs", 1), newService("desk", 1), newRoute("r", "/a/", "jobs", 1)})
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name    string
+		changes []Item
+		orphans bool
+	}{
+		{"a service that no route names", []Item{deleted(newService("desk", 1), 2)}, false},
+		{"a service that a route names", []Item{deleted(newService("jobs", 1), 2)}, true},
+		{"together with its route", []Item{deleted(newService("jobs", 1), 2), deleted(newRoute("r", "", "", 1), 2)}, false},
+		{"while its route moves", []Item{deleted(newService("jobs", 1), 2), newRoute("r", "/a/", "desk", 2)}, false},
+		{"an older deletion", []Item{deleted(newService("jobs", 1), 0)}, false},
+		{"a route", []Item{deleted(newRoute("r", "", "", 1), 2)}, false},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is.New(t).Equal(set.Orphans(testcase.changes) != nil, testcase.orphans)
+		})
+	}
+}
--- a/internal/control/items/view.go
+++ b/internal/control/items/view.go
@@ -22,6 +22,8 @@
 	limits     Limits
 	// Configured reports whether any item is in force.
 	Configured bool
+	// needsKeys is set if there are workspaces, or were.
+	needsKeys bool
 }
 
 // DefaultBodyBytes is the maximum size of a request's body if no limits are in force.
@@ -36,6 +38,9 @@
 		routes: map[string][]NamedRoute{}, keys: map[string]string{},
 		workspaces: map[string]Workspace{}, services: map[string]Service{}, limits: defaultLimits,
 	}
+	for _, item := range set.Items {
+		view.needsKeys = view.needsKeys || item.Kind == KindWorkspace
+	}
 	for _, item := range set.Active() {
 		view.Configured = true
 		switch {
@@ -45,7 +50,9 @@
 		case item.Workspace != nil:
 			view.workspaces[item.Name] = *item.Workspace
 			for _, key := range item.Workspace.Keys {
-				view.keys[key] = item.Name
+				if key != "" { // that is what requests without a key have
+					view.keys[key] = item.Name
+				}
 			}
 		case item.Service != nil:
 			view.services[item.Name] = *item.Service
@@ -80,9 +87,9 @@
 // Workspaces returns all workspaces by name. Callers must not change the map.
 func (view *View) Workspaces() map[string]Workspace { return view.workspaces }
 
-// HasWorkspaces reports whether there are workspaces, so that requests must carry a
-// caller key.
-func (view *View) HasWorkspaces() bool { return len(view.workspaces) > 0 }
+// NeedsKeys reports whether requests must carry a caller key. It is so once there has been a
+// workspace: deleting the last one withdraws its keys, and opens no route.
+func (view *View) NeedsKeys() bool { return view.needsKeys }
 
 // Service returns the service with the name.
 func (view *View) Service(name string) (Service, bool) {
--- a/internal/control/state/direct_test.go
+++ b/internal/control/state/direct_test.go
@@ -115,3 +115,21 @@
 	is.True(utf8.ValidString(result.Detail))
 	is.Equal(len(catalog.Items.Items), 0)
 }
+
+// TestDeletedWorkspacesSurviveRestarts guards against hosts that open all routes after a
+// restart, as the last workspace was deleted before.
+func TestDeletedWorkspacesSurviveRestarts(t *testing.T) {
+	is := is.New(t)
+	workspace := items.Item{Kind: items.KindWorkspace, Name: "w", Version: 1, Workspace: &items.Workspace{Keys: []string{"k"}}}
+	gone := items.Item{Kind: items.KindWorkspace, Name: "w", Version: 2, Deleted: true}
+	machine := NewMachine()
+	machine.Apply(1, PutItems{Items: []items.Item{workspace}})
+	machine.Apply(2, PutItems{Items: []items.Item{gone}})
+	data, err := machine.Snapshot()
+	is.NoErr(err)
+	restored, err := RestoreMachine(data)
+	is.NoErr(err)
+	is.True(restored.Catalog.View().NeedsKeys())
+	_, _, known := restored.Catalog.View().KeyOwner("k")
+	is.True(!known)
+}
--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -35,9 +35,10 @@
 	Instance state.Instance
 	// Sequence increases with each heartbeat of one upstream process.
 	Sequence uint64
-	// Holds are those that the upstream has now.
-	Holds    []Hold
-	Released []Release
+	// Holds are those that the upstream has now, unless it says nothing of them.
+	Holds        []Hold
+	HoldsUnknown bool
+	Released     []Release
 }
 
 // HeartbeatReply is the reply to a Heartbeat. Without Renewed it carries no holds,
--- a/internal/control/steer/release.go
+++ b/internal/control/steer/release.go
@@ -31,7 +31,7 @@
 	var gone []letGo
 	for _, span := range catalog.Spans[service].OwnedBy(owner) {
 		// Without a release, an answer in flight may still grant the keys.
-		waited := span.Moving() && !overlaps(heartbeat.Holds, span) &&
+		waited := span.Moving() && !heartbeat.HoldsUnknown && !overlaps(heartbeat.Holds, span) &&
 			holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
 		switch {
 		case span.Moving() && holdtable.countsReleases(known, span, now) && len(known.releasedOf(span)) > 0:
--- a/internal/control/steer/release_test.go
+++ b/internal/control/steer/release_test.go
@@ -221,3 +221,46 @@
 	simulation.exchange(other)
 	is.Equal(simulation.violation, "")
 }
+
+// TestHeartbeatThatSaysNothingOfHolds guards against two holders of keys that move, because a
+// heartbeat without a list of holds, of another writer or an odd upstream, counts as one that
+// holds nothing.
+func TestHeartbeatThatSaysNothingOfHolds(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		unknown bool
+		// givenAway is set if the keys get another holder at once.
+		givenAway bool
+	}{
+		{"no list", true, false},
+		{"an empty list", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			simulation := newIdleSimulation(2, 2)
+			upstream, other := simulation.upstreams[0], simulation.upstreams[1]
+			simulation.awaitAnswers(upstream, other)
+			simulation.setEvacuated(other, true)
+			for range answerExpiry / tickInterval {
+				simulation.tick()
+				simulation.exchange(upstream)
+				simulation.exchange(other)
+			}
+			simulation.exchange(upstream)
+			is.True(len(upstream.rows) > 0)
+			simulation.setEvacuated(other, false)
+			simulation.setEvacuated(upstream, true)
+			for range answerExpiry/tickInterval + 2 {
+				simulation.tick()
+			}
+			simulation.advance(time.Millisecond)
+			odd := simulation.send(upstream)
+			odd.heartbeat.Holds, odd.heartbeat.HoldsUnknown = nil, test.unknown
+			odd.answerLost = true
+			simulation.scheduler.finish(simulation.startHeartbeat(odd))
+			simulation.tick()
+			simulation.exchange(other)
+			is.Equal(simulation.violation != "", test.givenAway)
+		})
+	}
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -265,12 +265,15 @@
 	exchange.route = route
 	exchange.deadline = exchange.arrived.Add(min(route.Timeout, callerTimeout(exchange.caller)))
 	exchange.priority = route.Priority
-	if !route.Public && view.HasWorkspaces() {
+	if !route.Public && view.NeedsKeys() {
 		if refusal := exchange.authenticate(age); refusal != nil {
 			return refusal
 		}
 	}
 	exchange.service = pickService(route.Split)
+	if _, known := view.Service(exchange.service); !known {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "serviceUnknown", retryAfter: defaultRetryAfter}
+	}
 	relay.Scheduler.AddRetryBudget(exchange.service)
 	return nil
 }
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -249,3 +249,52 @@
 	is.Equal(contents["r-0"], contents["r-1"])
 	is.True(contents["r-0"] != contents["r-2"])
 }
+
+// TestNoWorkspaceIsLeft guards against a host that sends requests with withdrawn keys, or
+// with none, to upstreams once the last workspace is deleted, and against requests of routes
+// whose service is not in force.
+func TestNoWorkspaceIsLeft(t *testing.T) {
+	upstreams := startUpstreams(t, answered)
+	gone := items.Item{Kind: items.KindWorkspace, Name: "w", Version: 2, Deleted: true}
+	noService := items.Item{Kind: items.KindService, Name: "jobs", Version: 2, Deleted: true}
+	cases := []struct {
+		name   string
+		change items.Item
+		path   string
+		key    string
+		status int
+	}{
+		{"withdrawn key", gone, "/book/x", "k", http.StatusUnauthorized},
+		{"no key", gone, "/book/x", "", http.StatusUnauthorized},
+		{"unknown key", gone, "/book/x", "other", http.StatusUnauthorized},
+		{"public route", gone, "/open/x", "", http.StatusOK},
+		{"service gone", noService, "/book/x", "k", http.StatusServiceUnavailable},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			relay := newRelay(t, upstreams, 0)
+			open := route("open", true, 20*time.Second)
+			open.Route.Public = true
+			set, _, err := items.Set{}.Merge([]items.Item{
+				open, route("book", false, 20*time.Second),
+				{Kind: items.KindService, Name: "jobs", Version: 1, Service: &items.Service{}},
+				{Kind: items.KindWorkspace, Name: "w", Version: 1, Workspace: &items.Workspace{Keys: []string{"k"}}},
+			})
+			is.NoErr(err)
+			set, _, err = set.Merge([]items.Item{testcase.change})
+			is.NoErr(err)
+			relay.Config = func() ConfigSnapshot {
+				return ConfigSnapshot{View: set.View(), Index: 2, ConfirmedAt: relay.Clock.Now()}
+			}
+			request := httptest.NewRequest(http.MethodPost, "http://host"+testcase.path, nil)
+			request.Header.Set("Id", "r")
+			request.Header.Set("Key", testcase.key)
+			recorder := httptest.NewRecorder()
+			before := upstreams.requests.Load()
+			relay.ServeHTTP(recorder, request)
+			is.Equal(recorder.Code, testcase.status)
+			is.Equal(upstreams.requests.Load() > before, testcase.status == http.StatusOK)
+		})
+	}
+}
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -215,11 +216,23 @@
 // ErrTooLarge is returned for a change with which the configuration would be too large.
 var ErrTooLarge = Error.New("the configuration would take more than %d bytes", maxConfigurationBytes)
 
+// deletesService reports whether a change deletes a service. That no route names it is
+// checked here: control hosts of earlier versions, which apply the change too, do not.
+func deletesService(change items.Item) bool {
+	return change.Kind == items.KindService && change.Deleted
+}
+
 // PutItems commits changes of configuration items. Operators may send the whole
 // configuration with each change; only what may have an effect is committed.
 func (control *Control) PutItems(ctx context.Context, changes []items.Item) (state.Result, error) {
 	catalog := control.node.Catalog()
 	trimmed, err := catalog.Items.Trim(changes)
+	if err == nil && slices.ContainsFunc(trimmed, deletesService) {
+		if catalog, err = control.readCatalog(ctx); err != nil {
+			return state.Result{}, err
+		}
+		err = catalog.Items.Orphans(trimmed)
+	}
 	switch {
 	case err != nil:
 		return state.Result{Index: catalog.Index, Outcome: state.OutcomeInvalid, Detail: err.Error()}, nil
@@ -269,9 +282,18 @@
 }
 
 func (control *Control) readItems(ctx context.Context) ([]items.Item, error) {
+	catalog, err := control.readCatalog(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.Items.Active(), nil
+}
+
+// readCatalog performs a linearizable read, with the leader's help if this host is another.
+func (control *Control) readCatalog(ctx context.Context) (*state.Catalog, error) {
 	catalog, err := control.node.ReadLinearizable(ctx)
 	if err == nil {
-		return catalog.Items.Active(), nil
+		return catalog, nil
 	}
 	reply, err := group.CallLeader[steer.IndexReply](ctx, control.client, "Steer.Index", steer.IndexArgs{})
 	if err != nil {
@@ -284,7 +306,7 @@
 		case <-control.options.Clock.After(tickInterval):
 		}
 	}
-	return control.node.Catalog().Items.Active(), nil
+	return control.node.Catalog(), nil
 }
 
 // Done returns a channel that is closed when the control node has ended, for
--- a/internal/fleet/direct/control_test.go
+++ b/internal/fleet/direct/control_test.go
@@ -179,3 +179,23 @@
 	var maxBytesErr *http.MaxBytesError
 	is.True(errors.As(errs[fitting+1], &maxBytesErr))
 }
+
+// TestServiceInUseIsNotDeleted guards against a change that is acknowledged although it leaves
+// a route without its service.
+func TestServiceInUseIsNotDeleted(t *testing.T) {
+	is := is.New(t)
+	control := startTestControl(t)
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+	defer cancel()
+	_, err := control.PutItems(ctx, wholeConfiguration(1, 1, -1))
+	is.NoErr(err)
+	gone := []items.Item{{Kind: items.KindService, Name: "jobs", Version: 2, Deleted: true}}
+	result, err := control.PutItems(ctx, gone)
+	is.NoErr(err)
+	is.Equal(result.Outcome, state.OutcomeInvalid)
+	is.Equal(len(control.node.Catalog().Items.Active()), 2)
+	result, err = control.PutItems(ctx, append(gone, items.Item{Kind: items.KindRoute, Name: "r-000000", Version: 2, Deleted: true}))
+	is.NoErr(err)
+	is.Equal(result.Outcome, state.OutcomeDone)
+	is.Equal(len(control.node.Catalog().Items.Active()), 0)
+}
