Take no keys from an upstream on the word of another writer

A heartbeat under the ID of a live upstream, with a service that no configuration names and a later start, was answered 200 and replaced the upstream's record.

Cause: a record of a later process counted as the end of the earlier one. A heartbeat proves that its sender says something, not that another process has ended.

Heartbeats of services that no configuration names are not registered, and a later process proves the end of an earlier one only at the same address. Elsewhere the earlier holds have to expire.

--- a/internal/control/steer/heartbeat.go
+++ b/internal/control/steer/heartbeat.go
@@ -60,6 +60,9 @@
 	if !leads {
 		return HeartbeatReply{}, ErrNotLeader
 	}
+	if _, known := coordinator.node.Catalog().View().Service(heartbeat.Instance.Service); !known {
+		return HeartbeatReply{}, nil // it may be of another writer, and must not replace an upstream
+	}
 	received := coordinator.clock.Now()
 	if coordinator.holds.hasDeparted(heartbeat.Instance.Owner()) {
 		heartbeat.Instance.Draining = true
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -118,6 +118,7 @@
 		known.interval = since
 	}
 	known.lastHeartbeat = received
+	known.address = heartbeat.Instance.Address
 	known.addReleases(heartbeat, holdtable.node.Catalog().Spans[heartbeat.Instance.Service].OwnedBy(owner))
 	return true, nil
 }
@@ -181,9 +182,17 @@
 }
 
 // holdsEnded reports whether an owner certainly holds no keys: its process is known
-// to have been replaced, or all holds that it was granted have expired.
+// to have ended, or all holds that it was granted have expired.
 func (holdtable *holdTable) holdsEnded(catalog *state.Catalog, owner spans.Owner, now time.Time) bool {
-	return owner == (spans.Owner{}) || isReplaced(catalog, owner) || now.After(holdtable.holdsUntil(owner))
+	return owner == (spans.Owner{}) || holdtable.hasEnded(catalog, owner) || now.After(holdtable.holdsUntil(owner))
+}
+
+// hasEnded reports whether an owner's process has certainly ended: a later one of the
+// upstream listens at its address. A record of a later process elsewhere proves nothing, as
+// another writer may have sent it.
+func (holdtable *holdTable) hasEnded(catalog *state.Catalog, owner spans.Owner) bool {
+	known, ok := holdtable.upstreams[owner]
+	return ok && isReplaced(catalog, owner) && catalog.Instances[owner.ID].Address == known.address
 }
 
 // assessment is what the placement of a service's keys is based on.
--- a/internal/control/steer/upstream.go
+++ b/internal/control/steer/upstream.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 	// sequence is that of the latest recorded heartbeat.
 	sequence      uint64
 	lastHeartbeat time.Time
+	// address is where the process listens.
+	address netip.AddrPort
 	// holdsUntil is when all holds of this process have certainly expired.
 	holdsUntil time.Time
 	// newestFence is the highest fence that the process has reported as held in this term.
