--- a/internal/dispatch/pool/header.go
+++ b/internal/dispatch/pool/header.go
@@ -28,6 +28,9 @@
 	return kept
 }
 
+// maxKeepAliveSeconds bounds the timeout that an upstream may state.
+const maxKeepAliveSeconds = 3600
+
 // keepAlive returns the timeout parameter of a Keep-Alive field.
 func keepAlive(field string) (time.Duration, bool) {
 	for part := range strings.SplitSeq(field, ",") {
@@ -39,7 +42,7 @@
 		if err != nil || seconds < 0 {
 			return 0, false
 		}
-		return time.Duration(seconds) * time.Second, true
+		return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second, true
 	}
 	return 0, false
 }
--- a/internal/dispatch/pool/pool_test.go
+++ b/internal/dispatch/pool/pool_test.go
@@ -202,6 +202,30 @@
 	}
 }
 
+// TestKeepAlive guards against a timeout that is out of range and overflows.
+func TestKeepAlive(t *testing.T) {
+	cases := []struct {
+		field string
+		want  time.Duration
+		ok    bool
+	}{
+		{"timeout=5", 5 * time.Second, true},
+		{"max=3, timeout=0", 0, true},
+		{"timeout=9223372036854775807", time.Hour, true},
+		{"timeout=9223372036854775808", 0, false},
+		{"timeout=-1", 0, false},
+		{"", 0, false},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.field, func(t *testing.T) {
+			is := is.New(t)
+			timeout, ok := keepAlive(testcase.field)
+			is.Equal(ok, testcase.ok)
+			is.Equal(timeout, testcase.want)
+		})
+	}
+}
+
 func TestEndToEnd(t *testing.T) {
 	is := is.New(t)
 	header := EndToEnd(http.Header{
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -176,6 +176,10 @@
 // HandleHeartbeat answers an upstream's heartbeat. If this host can't answer
 // it as the leader, it forwards the heartbeat to the leader.
 func (control *Control) HandleHeartbeat(ctx context.Context, heartbeat steer.Heartbeat) (steer.HeartbeatReply, error) {
+	if err := heartbeat.Validate(control.options.Clock.Now()); err != nil {
+		control.options.Stats.Event("heartbeat", "invalid")
+		return steer.HeartbeatReply{}, err //nolint:wrapcheck // it says what is wrong
+	}
 	heartbeatreply, err := control.steer.HandleHeartbeat(ctx, heartbeat)
 	if err == nil {
 		return heartbeatreply, nil
