Bound the bodies of all requests that an entry host holds

Cause: a body was read into a buffer that grows by copying, and encoded for each attempt into another one that grows by doubling. Nothing bounded the bodies of all requests together.

--- a/internal/dispatch/calls/calls.go
+++ b/internal/dispatch/calls/calls.go
@@ -73,12 +73,19 @@
 
 // Fingerprint returns a hash of a request's body and the other parts of its content.
 func Fingerprint(body []byte, parts ...string) string {
+	return FingerprintPieces([][]byte{body}, parts...)
+}
+
+// FingerprintPieces is like Fingerprint for a body in pieces.
+func FingerprintPieces(body [][]byte, parts ...string) string {
 	digest := sha256.New()
 	for _, part := range parts {
 		_, _ = digest.Write([]byte(part))
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(body)
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
 	return hex.EncodeToString(digest.Sum(nil)[:fingerprintBytes])
 }
 
--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -272,7 +272,7 @@
 	others := sender.others(target, request.FirstHelper)
 	direct.AtFault = len(others) == 0
 	prepared := request.Prepare()
-	if len(prepared.Body) > maxBodyBytes {
+	if prepared.Body.Len() > maxBodyBytes {
 		return direct
 	}
 	asked, reached := 0, false
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, errors.Join(links.ErrNotSent, Error.New("encode the request: %w", err))
 	}
-	payload, err := sender.Caller.Call(ctx, other.Peer, links.Payload{Kind: kindForward, Head: head, Body: prepared.Body})
+	payload, err := sender.Caller.Call(ctx, other.Peer, links.Payload{Kind: kindForward, Head: head, Body: slices.Concat(prepared.Body...)})
 	if err != nil {
 		return nil, Error.New("forward to %s: %w", other.Name, err)
 	}
@@ -122,7 +123,7 @@
 	defer cancel()
 	attempt := crash.Attempt{Content: message.Content, Service: target.Service, Owner: target.Owner, Address: target.Address}
 	outcome := sender.sendDirectly(ctx, target, &pool.Request{
-		ID: message.RequestID, Method: message.Method, Target: message.Target, Host: message.Host, Header: message.Header, Body: body,
+		ID: message.RequestID, Method: message.Method, Target: message.Target, Host: message.Host, Header: message.Header, Body: pool.Body{body},
 		OnLateLoss: func() { sender.Crashes.Lost(attempt) },
 	})
 	failure := outcome.Failure
--- a/internal/dispatch/pool/body.go
+++ b/internal/dispatch/pool/body.go
@@ -27,7 +27,7 @@
 	errOtherRequest = Error.New("the response belongs to another request")
 )
 
-// Body is a response's whole body, in pieces.
+// Body is a whole body, in pieces.
 type Body [][]byte
 
 // Len returns the length of the body in bytes.
@@ -113,28 +113,37 @@
 	if received.ContentLength > maxResponseBytes {
 		return nil, errBodyTooLong
 	}
-	body, err := conn.readPieces(pool, received)
+	add := func(size int) error { return pool.bodies.add(conn, size) }
+	body, err := ReadBody(received.Body, received.ContentLength, maxResponseBytes, add)
 	if pool.bodies.remove(conn) {
 		return nil, errBuffersFull
 	}
 	return body, err
 }
 
-func (conn *conn) readPieces(pool *Pool, received *http.Response) (Body, error) {
+// ReadBody reads a body to its end. Whole is its length, negative if that is not known, and
+// limit the most bytes that it may have. Before each piece but the first, which has at most
+// 64 KiB, add is called with the size of the piece; its error ends the reading.
+func ReadBody(reader io.Reader, whole int64, limit int, add func(size int) error) (Body, error) {
+	if whole == 0 {
+		return nil, nil
+	}
 	var body Body
 	for length := 0; ; {
-		size := pieceSize(length, int(received.ContentLength))
+		size := pieceSize(length, int(whole))
 		if length > 0 {
-			if err := pool.bodies.add(conn, size); err != nil {
+			if err := add(size); err != nil {
 				return nil, err
 			}
 		}
 		piece := make([]byte, size)
-		filled, err := fill(received.Body, piece)
-		body = append(body, piece[:filled])
+		filled, err := fill(reader, piece)
+		if filled > 0 {
+			body = append(body, piece[:filled])
+		}
 		length += filled
 		switch {
-		case length > maxResponseBytes:
+		case length > limit:
 			return nil, errBodyTooLong
 		case errors.Is(err, io.EOF):
 			return body, nil
--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -413,7 +413,7 @@
 		cancel()
 	}()
 	request := newRequest("1")
-	request.Method, request.Body = http.MethodPost, make([]byte, maxResponseBytes)
+	request.Method, request.Body = http.MethodPost, Body{make([]byte, maxResponseBytes)}
 	_, failure := newPool().Send(ctx, endless.address(), request)
 	is.True(failure != nil)
 	is.Equal(failure.Failure, FailureTimeout)
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -47,6 +47,9 @@
 	// maxHeadBytes bounds the head of a response together with the interim responses
 	// before it.
 	maxHeadBytes = 64 << 10
+	// maxEncodedBodyBytes is the length up to which a request's body is written together with
+	// its head.
+	maxEncodedBodyBytes = 16 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 8 << 10
 	// maxRequests bounds the requests that one connection carries, as it remembers their IDs.
@@ -70,7 +73,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// OnLateLoss, if set, is called if the context ended first and the upstream then
 	// ends the connection without a byte of the response.
 	OnLateLoss func()
@@ -211,7 +214,7 @@
 	}
 	stop := connection.interruptAfter(ctx)
 	defer stop()
-	if _, err := connection.Write(unsent); err != nil {
+	if err := connection.writeAll(unsent, request.separateBody()); err != nil {
 		_ = connection.Close()
 		return nil, &SendError{Failure: failureOf(ctx), Cause: Error.New("send request: %w", err)}
 	}
@@ -574,7 +577,25 @@
 	return timeout * reuseTenths / 10
 }
 
-// encode returns the wire format of the request, and the length of its head.
+// separateBody returns the body if it is too long to be encoded together with the head.
+func (request *Request) separateBody() Body {
+	if request.Body.Len() <= maxEncodedBodyBytes {
+		return nil
+	}
+	return request.Body
+}
+
+// writeAll writes the rest of an encoded request and its separate body.
+func (conn *conn) writeAll(unsent []byte, body Body) error {
+	if _, err := conn.Write(unsent); err != nil {
+		return Error.New("%w", err)
+	}
+	_, err := body.WriteTo(conn)
+	return err
+}
+
+// encode returns the wire format of the request without a separate body, and the length of
+// its head.
 func (request *Request) encode() (encoded []byte, headLength int) {
 	var buffer bytes.Buffer
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
@@ -583,11 +604,16 @@
 			buffer.WriteString(name + ": " + value + "\r\n")
 		}
 	}
-	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
-		buffer.WriteString("Content-Length: " + itoa(len(request.Body)) + "\r\n")
+	length := request.Body.Len()
+	if length > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
+		buffer.WriteString("Content-Length: " + itoa(length) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
 	headLength = buffer.Len()
-	buffer.Write(request.Body)
+	if length <= maxEncodedBodyBytes {
+		for _, piece := range request.Body {
+			buffer.Write(piece)
+		}
+	}
 	return buffer.Bytes(), headLength
 }
--- a/internal/dispatch/pool/quiet_test.go
+++ b/internal/dispatch/pool/quiet_test.go
@@ -125,7 +125,7 @@
 	for range 200 { // the upstream may be faster or slower than the request's end
 		standin := startStandIn(t, script{responses: []string{""}, reset: true})
 		request := newRequest("1")
-		request.Method, request.Body = http.MethodPost, []byte("body")
+		request.Method, request.Body = http.MethodPost, Body{[]byte("body")}
 		ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
 		_, failure := newPool().Send(ctx, standin.address(), request)
 		cancel()
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -162,6 +160,8 @@
 	Stats    *stats.Set
 
 	running atomic.Int64
+	// bodyBytes is what the bodies of all requests in progress take.
+	bodyBytes atomic.Int64
 }
 
 // Running returns the number of requests in progress.
@@ -180,7 +180,9 @@
 	priority  int
 	arrived   time.Time
 	deadline  time.Time
-	body      []byte
+	body      pool.Body
+	// bodyBytes is what the body takes of the budget of all bodies.
+	bodyBytes int64
 	// content is the fingerprint of the request's content, empty until the body is read.
 	content string
 	sends   int
@@ -206,6 +208,7 @@
 		exchange.refuse(*refusal)
 		return
 	}
+	defer exchange.releaseBody()
 	if refusal := exchange.readBody(); refusal != nil {
 		exchange.refuse(*refusal)
 		return
@@ -343,29 +346,11 @@
 	return split[len(split)-1].Service
 }
 
-func (exchange *exchange) readBody() *refusal {
-	limit := exchange.config.View.Limits().BodyBytes
-	if limit <= 0 {
-		limit = items.DefaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
-	var maxBytesErr *http.MaxBytesError
-	switch {
-	case errors.As(err, &maxBytesErr):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLong"}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "bodyCut"}
-	}
-	exchange.body = body
-	exchange.content = exchange.fingerprint()
-	return nil
-}
-
 // fingerprint identifies what stays the same when a request is sent again: its
 // workspace, its target and its body, but not its ID.
 func (exchange *exchange) fingerprint() string {
 	request := exchange.request
-	return calls.Fingerprint(exchange.body, exchange.workspace, request.Method, request.Host, request.RequestURI)
+	return calls.FingerprintPieces(exchange.body, exchange.workspace, request.Method, request.Host, request.RequestURI)
 }
 
 // serve forwards the request, with retries, until it has a response or must not be
