Count releases across a change of the control leader

A span that moves now says up to which heartbeat its owner was known to have reported the assignment when the move was decided. What later heartbeats release is of this assignment: while the span moves, or is reserved for it, it is not granted, and a move that is called off clears the sequence. Control hosts of earlier versions leave the field out; then the wait is as before.

--- a/internal/control/spans/spans.go
+++ b/internal/control/spans/spans.go
@@ -38,6 +38,10 @@
 	// Settle is the expected time from the assignment until the owner learns of it
 	// and serves the keys.
 	Settle time.Duration
+	// Reported is, while the span moves, the sequence of a heartbeat of the owner up to
+	// which it was known to have reported the assignment, 0 if that is not known. What later
+	// heartbeats release are keys of this assignment.
+	Reported uint64 `cbor:"Reported,omitempty"`
 }
 
 // Moving reports whether the owner has to release the span.
@@ -48,7 +52,7 @@
 
 func (span Span) mergeable(next Span) bool {
 	return span.To != MaxKey && span.To+1 == next.From && span.Owner == next.Owner &&
-		span.Fence == next.Fence && span.Next == next.Next && span.Handover == next.Handover && span.Settle == next.Settle
+		span.Fence == next.Fence && span.Next == next.Next && span.Handover == next.Handover && span.Settle == next.Settle && span.Reported == next.Reported
 }
 
 // Change assigns keys to an owner, or marks them as moving to one.
@@ -62,6 +66,8 @@
 	Next     Owner
 	Handover string
 	Settle   time.Duration
+	// Reported is that of the span, for changes with Next.
+	Reported uint64 `cbor:"Reported,omitempty"`
 }
 
 // Table is the ownership of one service's keys: spans in key order without gaps. It
@@ -131,12 +137,12 @@
 
 func (span *Span) apply(index uint64, change Change) {
 	if change.Owner == (Owner{}) {
-		span.Next = change.Next
+		span.Next, span.Reported = change.Next, change.Reported
 		return
 	}
 	span.Owner = change.Owner
 	span.Fence = index
-	span.Next = Owner{}
+	span.Next, span.Reported = Owner{}, 0
 	span.Handover = change.Handover
 	span.Settle = change.Settle
 }
--- a/internal/control/steer/former_test.go
+++ b/internal/control/steer/former_test.go
@@ -18,7 +18,7 @@
 )
 
 // TestMessagesOfFormerVersion reads messages that hosts of the version before the present
-// one sent (commit 56f892e). While hosts are replaced one by one, both versions talk to
+// one sent (commit 84831f8). While hosts are replaced one by one, both versions talk to
 // each other: what the former one says must keep its meaning.
 func TestMessagesOfFormerVersion(t *testing.T) {
 	owner := spans.Owner{ID: "i-1", Born: 1780000000001}
@@ -43,14 +43,14 @@
 			Instance: state.Instance{ID: "i-1", Born: owner.Born, Service: "jobs", Slots: 2}, Sequence: 4,
 			Holds: []Hold{{From: 0, To: 99, Fence: 7}}, Released: []Release{{From: 100, To: 199, Handover: "h"}},
 		}},
-		{"fetchArgs", &group.FetchArgs{}, &group.FetchArgs{After: 12, Wait: time.Second}},
+		{"fetchArgs", &group.FetchArgs{}, &group.FetchArgs{After: 12, Wait: time.Second, Batches: true}},
 		{"fetchReply", &group.FetchReply{}, &group.FetchReply{Upto: 13, Deltas: []group.Delta{{Index: 13, Command: []byte("x")}}}},
-		{"proposeArgs", &group.ProposeArgs{}, &group.ProposeArgs{Command: []byte("x")}},
+		{"proposeArgs", &group.ProposeArgs{}, &group.ProposeArgs{Command: []byte("x"), ID: state.ProposalID{Proposer: 1, Sequence: 2, Answered: 1}}},
 		{"proposeReply", &group.ProposeReply{}, &group.ProposeReply{Result: state.Result{Index: 5, Outcome: state.OutcomeDone}}},
 		{"deliverArgs", &group.DeliverArgs{}, &group.DeliverArgs{
 			Envelopes: []raft.Envelope{{From: "a", To: "b", Message: raft.VoteRequest{Term: 3, LastIndex: 9, LastTerm: 2}}}, From: member.Address,
 		}},
-		{"joinArgs", &group.JoinArgs{}, &group.JoinArgs{Member: member}},
+		{"joinArgs", &group.JoinArgs{}, &group.JoinArgs{Member: member, Format: state.LatestFormat}},
 		{"helloReply", &group.HelloReply{}, &group.HelloReply{ID: member.ID, Formed: true, First: raft.Members{Voters: []raft.Member{member}}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/control/steer/holds.go
+++ b/internal/control/steer/holds.go
@@ -310,6 +310,9 @@
 	if len(changes) == 0 || holdtable.reservations[service].isOpen(catalog) {
 		return nil
 	}
+	for position := range changes {
+		changes[position].Reported = holdtable.reported(catalog.Spans[service], changes[position])
+	}
 	reservation := &reservation{
 		command: state.ChangeSpans{Service: service, Base: catalog.Spans[service].Version, Changes: changes},
 		term:    holdtable.term, proposing: true,
@@ -318,6 +321,21 @@
 	return reservation
 }
 
+// reported returns the latest heartbeat of the owner of keys that are to move, if it has
+// reported that it holds something that it was granted with them or later, and else 0.
+func (holdtable *holdTable) reported(table spans.Table, change spans.Change) uint64 {
+	if change.Next == (spans.Owner{}) {
+		return 0
+	}
+	moving := table.Overlapping(change.From, change.To)
+	known, ok := holdtable.upstreams[moving[0].Owner]
+	foreign := func(span spans.Span) bool { return span.Owner != moving[0].Owner || span.Fence > known.newestFence }
+	if !ok || slices.ContainsFunc(moving, foreign) {
+		return 0
+	}
+	return known.sequence
+}
+
 // resume returns the open reservation of a service that has to be proposed again,
 // as its outcome is unknown. Open is also set if another proposal of it is under way.
 func (holdtable *holdTable) resume(term uint64, service string) (unresolved *reservation, open bool) {
--- a/internal/control/steer/release.go
+++ b/internal/control/steer/release.go
@@ -34,8 +34,8 @@
 		waited := span.Moving() && !heartbeat.HoldsUnknown && !overlaps(heartbeat.Holds, span) &&
 			holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
 		switch {
-		case span.Moving() && holdtable.countsReleases(known, span, now) && len(known.releasedOf(span)) > 0:
-			gone = append(gone, letGoAll(span, known.releasedOf(span), span.Next)...)
+		case span.Moving() && len(holdtable.countedReleases(known, span, now)) > 0:
+			gone = append(gone, letGoAll(span, holdtable.countedReleases(known, span, now), span.Next)...)
 		case waited:
 			gone = append(gone, letGo{Release: Release{From: span.From, To: span.To}, span: span, successor: span.Next})
 		case !span.Moving() && stays:
@@ -66,8 +66,8 @@
 	var gone []letGo
 	for _, span := range catalog.Spans[service].Spans {
 		known, ok := holdtable.upstreams[span.Owner]
-		if ok && span.Moving() && holdtable.countsReleases(known, span, now) {
-			gone = append(gone, letGoAll(span, known.releasedOf(span), span.Next)...)
+		if ok && span.Moving() {
+			gone = append(gone, letGoAll(span, holdtable.countedReleases(known, span, now), span.Next)...)
 		}
 	}
 	return holdtable.reserveGone(catalog, service, gone, now)
@@ -84,12 +84,20 @@
 	return holdtable.reserve(catalog, service, changes), gone
 }
 
-// countsReleases reports whether the releases of the span are those of its present
+// countedReleases returns the releases of the span that are those of its present
 // assignment. A release may repeat that of an earlier one until it is acknowledged, so it
 // counts once the process has reported a hold that it learned of with this assignment or
-// later, or if it can't hold the span by a grant of an earlier leader.
-func (holdtable *holdTable) countsReleases(known *upstreamState, span spans.Span, now time.Time) bool {
-	return known.newestFence >= span.Fence || holdtable.grantedInTerm(span, now)
+// later, to this leader or to an earlier one before the span began to move, or if it can't
+// hold the span by a grant of an earlier leader.
+func (holdtable *holdTable) countedReleases(known *upstreamState, span spans.Span, now time.Time) []Release {
+	switch {
+	case known.newestFence >= span.Fence || holdtable.grantedInTerm(span, now):
+		return known.releasedOf(span)
+	case span.Reported > 0:
+		return known.releasedSince(span, span.Reported)
+	default:
+		return nil
+	}
 }
 
 // grantedInTerm reports whether all grants of a span that can still be in force were
--- a/internal/control/steer/release_test.go
+++ b/internal/control/steer/release_test.go
@@ -264,3 +264,43 @@
 		})
 	}
 }
+
+// TestLateReleaseAcrossLeaderChange guards against two holders of keys that move, because the
+// next leader counts a release that was sent before the owner was granted the keys again and
+// reported that to the earlier leader.
+func TestLateReleaseAcrossLeaderChange(t *testing.T) {
+	is := is.New(t)
+	simulation := newIdleSimulation(3, 2)
+	upstream, other := simulation.upstreams[0], simulation.upstreams[1]
+	simulation.awaitAnswers(upstream, other)
+	members := simulation.group.members
+	// The answer leaves out keys that are reserved for a move, and the move is lost.
+	simulation.setEvacuated(upstream, true)
+	tick := simulation.startTick(members[0])
+	simulation.scheduler.runUntil(tick, "before commit state.ChangeSpans")
+	simulation.exchange(upstream)
+	simulation.group.elect(members[1], false)
+	simulation.scheduler.finish(tick)
+	simulation.setEvacuated(upstream, false)
+	late := simulation.send(upstream)
+	simulation.advance(1020 * time.Millisecond)
+	is.Equal(len(late.heartbeat.Holds), 0)
+	is.True(len(late.heartbeat.Released) > 0)
+	// The second leader grants the keys again, hears of that, and moves them.
+	simulation.exchange(upstream)
+	simulation.tick()
+	simulation.exchange(upstream)
+	is.True(len(upstream.rows) > 0)
+	simulation.exchange(upstream)
+	simulation.setEvacuated(upstream, true)
+	simulation.tick()
+	moving := simulation.group.catalog.Spans[jobs].OwnedBy(upstream.instance.Owner())
+	is.True(len(moving) > 0 && moving[0].Moving() && moving[0].Reported > late.heartbeat.Sequence)
+	// The late heartbeat arrives at a third leader.
+	simulation.group.elect(members[2], true)
+	late.target = members[2]
+	simulation.scheduler.finish(simulation.startHeartbeat(late))
+	simulation.tick()
+	simulation.exchange(other)
+	is.Equal(simulation.violation, "")
+}
--- a/internal/control/steer/upstream.go
+++ b/internal/control/steer/upstream.go
@@ -35,6 +35,8 @@
 type endedHold struct {
 	Release
 	fence uint64
+	// sequence is that of the latest heartbeat that reported the release.
+	sequence uint64
 }
 
 // addReleases keeps what the heartbeat releases of the spans that the process owns, and
@@ -49,9 +51,8 @@
 	upstreamstate.newestFence = max(upstreamstate.newestFence, newest)
 	for _, span := range owned {
 		for _, release := range heartbeat.Released {
-			ended := endedHold{Release: release, fence: span.Fence}
-			if release.From <= span.To && release.To >= span.From && !slices.Contains(upstreamstate.released, ended) {
-				upstreamstate.released = append(upstreamstate.released, ended)
+			if release.From <= span.To && release.To >= span.From {
+				upstreamstate.addRelease(endedHold{Release: release, fence: span.Fence, sequence: heartbeat.Sequence})
 			}
 		}
 	}
@@ -65,12 +66,23 @@
 	}
 }
 
+// addRelease keeps a release, or the later sequence of one that is kept already.
+func (upstreamstate *upstreamState) addRelease(ended endedHold) {
+	for position := range upstreamstate.released {
+		if kept := &upstreamstate.released[position]; kept.Release == ended.Release && kept.fence == ended.fence {
+			kept.sequence = ended.sequence
+			return
+		}
+	}
+	upstreamstate.released = append(upstreamstate.released, ended)
+}
+
 // withoutRanges returns what remains of ended holds outside the ranges.
 func withoutRanges(ended []endedHold, ranges []keyRange) []endedHold {
 	var rest []endedHold
 	for _, hold := range ended {
 		for _, part := range (keyRange{from: hold.From, to: hold.To}).without(ranges) {
-			rest = append(rest, endedHold{Release: Release{From: part.from, To: part.to, Handover: hold.Handover}, fence: hold.fence})
+			rest = append(rest, endedHold{Release: Release{From: part.from, To: part.to, Handover: hold.Handover}, fence: hold.fence, sequence: hold.sequence})
 		}
 	}
 	return rest
@@ -81,6 +93,12 @@
 	return within(upstreamstate.released, span)
 }
 
+// releasedSince is like releasedOf for releases that heartbeats after the sequence reported.
+func (upstreamstate *upstreamState) releasedSince(span spans.Span, sequence uint64) []Release {
+	later := slices.DeleteFunc(slices.Clone(upstreamstate.released), func(ended endedHold) bool { return ended.sequence <= sequence })
+	return within(later, span)
+}
+
 // endedOf returns the key ranges of the span that the process has released or lost.
 func (upstreamstate *upstreamState) endedOf(span spans.Span) []Release {
 	releases := upstreamstate.releasedOf(span)
