--- a/internal/base/sock/sock_test.go
+++ b/internal/base/sock/sock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 		if time.Now().After(deadline) {
 			t.Fatalf("the state is %d, not %d", Peek(conn), want)
 		}
-		time.Sleep(time.Millisecond)
+		runtime.Gosched()
 	}
 }
 
--- a/internal/fleet/direct/caller_test.go
+++ b/internal/fleet/direct/caller_test.go
@@ -82,9 +82,8 @@
 			switch {
 			case testcase.leaves < 0:
 				is.NoErr(client.Close())
-				for !callerLeft(ctx) {
-					time.Sleep(time.Millisecond)
-				}
+				_, err := ctx.Value(connKey{}).(net.Conn).Read(make([]byte, 1))
+				is.True(err != nil) // the close has arrived
 			case testcase.leaves > 0:
 				time.AfterFunc(testcase.leaves, func() { _ = client.Close() })
 			}
--- a/internal/fleet/direct/control_test.go
+++ b/internal/fleet/direct/control_test.go
@@ -58,12 +58,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(control.Kill)
-	deadline := time.Now().Add(longTimeout)
+	deadline := time.After(longTimeout)
 	for !control.node.HoldsLease() {
-		if time.Now().After(deadline) {
+		select {
+		case <-deadline:
 			t.Fatal("the control host does not lead")
+		case <-control.options.Clock.After(tickInterval):
 		}
-		time.Sleep(tickInterval)
 	}
 	return control
 }
