Log changes of the configuration that are answered without a commit

The same line as for committed ones is written, with the outcome. direct.TestEachChangeIsLogged fails without it. Counted releases are looked up once a span (no change of behaviour).

--- a/internal/control/steer/release.go
+++ b/internal/control/steer/release.go
@@ -30,12 +30,13 @@
 	stays := !canLeave(catalog, owner)
 	var gone []letGo
 	for _, span := range catalog.Spans[service].OwnedBy(owner) {
+		released := holdtable.countedReleases(known, span, now)
 		// Without a release, an answer in flight may still grant the keys.
 		waited := span.Moving() && !heartbeat.HoldsUnknown && !overlaps(heartbeat.Holds, span) &&
 			holdtable.movingLongerThan(service, span, answerExpiry, now) && holdtable.grantedInTerm(span, now)
 		switch {
-		case span.Moving() && len(holdtable.countedReleases(known, span, now)) > 0:
-			gone = append(gone, letGoAll(span, holdtable.countedReleases(known, span, now), span.Next)...)
+		case span.Moving() && len(released) > 0:
+			gone = append(gone, letGoAll(span, released, span.Next)...)
 		case waited:
 			gone = append(gone, letGo{Release: Release{From: span.From, To: span.To}, span: span, successor: span.Next})
 		case !span.Moving() && stays:
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -239,9 +239,13 @@
 	}
 	switch {
 	case err != nil:
-		return state.Result{Index: catalog.Index, Outcome: state.OutcomeInvalid, Detail: err.Error()}, nil
+		result := state.Result{Index: catalog.Index, Outcome: state.OutcomeInvalid, Detail: err.Error()}
+		control.logChange(len(trimmed), len(changes), result)
+		return result, nil
 	case len(trimmed) == 0:
-		return state.Result{Index: catalog.Index, Outcome: state.OutcomeResent}, nil
+		result := state.Result{Index: catalog.Index, Outcome: state.OutcomeResent}
+		control.logChange(0, len(changes), result)
+		return result, nil
 	case catalog.Items.SizeWith(trimmed) > maxConfigurationBytes:
 		control.options.Log.WithField("items", len(trimmed)).WithField("bound", maxConfigurationBytes).
 			Warn(logPrefix + "refused a configuration change: the configuration would be too large")
@@ -251,11 +255,17 @@
 	if err != nil {
 		return result, err
 	}
-	control.options.Log.WithField("items", len(trimmed)).WithField("sent", len(changes)).WithField("outcome", string(result.Outcome)).
-		WithField("detail", result.Detail).WithField("version", result.Index).Info(logPrefix + "processed a configuration change")
+	control.logChange(len(trimmed), len(changes), result)
 	return result, nil
 }
 
+// logChange logs what became of a change of the configuration: of the items that were sent,
+// some may have an effect.
+func (control *Control) logChange(items, sent int, result state.Result) {
+	control.options.Log.WithField("items", items).WithField("sent", sent).WithField("outcome", string(result.Outcome)).
+		WithField("detail", result.Detail).WithField("version", result.Index).Info(logPrefix + "processed a configuration change")
+}
+
 // SetEvacuated sets whether a data centre is evacuated. The upstreams of an evacuated
 // data centre get no new work.
 func (control *Control) SetEvacuated(ctx context.Context, dataCentre string, evacuated bool) error {
--- a/internal/fleet/direct/control_test.go
+++ b/internal/fleet/direct/control_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -43,6 +44,11 @@
 // startTestControl starts a control host that forms a group of its own, and waits until it
 // leads.
 func startTestControl(t *testing.T) *Control {
+	t.Helper()
+	return startLoggingControl(t, &log.Logger{Handler: discard.New()})
+}
+
+func startLoggingControl(t *testing.T, logger log.Interface) *Control {
 	t.Helper()
 	peer := freeAddress(t)
 	settings := conf.DirectSettings{
@@ -52,7 +58,7 @@
 	}
 	control, err := StartControl(Options{
 		Settings: settings, Reload: func() (conf.DirectSettings, error) { return settings, nil },
-		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: discard.New()}, Stats: &stats.Set{},
+		Clock: clockwork.NewRealClock(), Log: logger, Stats: &stats.Set{},
 	}, func(*Control) http.Handler { return http.NotFoundHandler() })
 	if err != nil {
 		t.Fatal(err)
@@ -200,3 +206,31 @@
 	is.Equal(result.Outcome, state.OutcomeDone)
 	is.Equal(len(control.node.Catalog().Items.Active()), 0)
 }
+
+// TestEachChangeIsLogged guards against changes of the configuration without a log line, as
+// they are answered without being committed: without effect, or invalid.
+func TestEachChangeIsLogged(t *testing.T) {
+	is := is.New(t)
+	var mutex sync.Mutex
+	var outcomes []string
+	handler := log.HandlerFunc(func(entry *log.Entry) error {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if entry.Message == logPrefix+"processed a configuration change" {
+			outcomes = append(outcomes, fmt.Sprint(entry.Fields.Get("outcome")))
+		}
+		return nil
+	})
+	control := startLoggingControl(t, &log.Logger{Handler: handler, Level: log.InfoLevel})
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+	defer cancel()
+	invalid := wholeConfiguration(1, 2, -1)
+	invalid[1].Route.Timeout = 0
+	for _, changes := range [][]items.Item{wholeConfiguration(1, 1, -1), wholeConfiguration(1, 1, -1), invalid} {
+		_, err := control.PutItems(ctx, changes)
+		is.NoErr(err)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	is.Equal(outcomes, []string{string(state.OutcomeDone), string(state.OutcomeResent), string(state.OutcomeInvalid)})
+}
