--- a/internal/control/group/bytes_test.go
+++ b/internal/control/group/bytes_test.go
@@ -157,4 +157,6 @@
 	is.Equal(refused, proposals-accepted)
 	node.processOutputs(&work)
 	is.Equal(fmt.Sprint(node.pendingBytes, len(node.proposals)), "0 0")
+	is.True(node.snapshotRunning)
+	<-node.inbox // the snapshot is written, so that the folder can be removed
 }
