Pass on no status that promises "not run" on an upstream's behalf

What callers saw: 503, 429, 408 or 421, which promise that a request has not run and will not run, for bookings that ran. Callers send such requests again, so that two vans come.

Cause: an answer of an upstream was passed on with its status unless it carried the field by which upstreams say that they did not run the request. With one of these statuses and without the field, the host promised what nobody had said. A 421 without the field even counted as a rejection and was sent again under the same ID.

Change: whether a request ran is the upstream's to say, by its field alone. A response that contradicts itself there, also a success that says "not run", counts as one after which the request may have run: 502 for writes, another attempt for idempotent requests. refuse() is the only place that answers a status that promises "not run", and for none of them once a request may have run. The log line names the upstream's status, and events_total{event="response", reason="unproven"} counts them.

--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -15,10 +15,10 @@
 	"damaskcrank.example/damaskcrank/internal/dispatch/pool"
 )
 
-// refuse responds with a refusal by this host. A 503 promises that the request
-// did not run, so a request that may have run fails instead.
+// refuse responds with a refusal by this host. Nothing else may answer a status that
+// promises that the request did not run, so one that may have run fails instead.
 func (exchange *exchange) refuse(refused refusal) {
-	if refused.status == http.StatusServiceUnavailable && exchange.mayHaveRun {
+	if promises(refused.status) && exchange.mayHaveRun {
 		exchange.fail(refused.reason)
 		return
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -76,7 +76,8 @@
 
 // ResponseInfo holds the metadata of an upstream's response.
 type ResponseInfo struct {
-	// NotRun is set if the upstream states that it did not run the request.
+	// NotRun is set if the upstream states that it did not run the request. A status alone
+	// does not state that.
 	NotRun bool
 	// Misplaced is set if the upstream does not own the key, or if another
 	// upstream than the intended one responded.
@@ -398,6 +399,10 @@
 	response := outcome.Response
 	responseinfo := relay.Protocol.ParseResponse(response.Status, response.Header)
 	permit.RecordLimit(responseinfo.RateLimit)
+	if failure := unproven(response.Status, responseinfo); failure != nil {
+		outcome.Failure = failure
+		return exchange.handleFailure(ctx, permit, outcome)
+	}
 	switch {
 	case responseinfo.Misplaced:
 		permit.Release(admit.ResultMisplaced, responseinfo.Load)
@@ -494,8 +499,12 @@
 	if failure.Failure == pool.FailureLost && outcome.Helper == "" {
 		exchange.reportLoss(permit)
 	}
+	status := 0
+	if outcome.Response != nil {
+		status = outcome.Response.Status
+	}
 	exchange.logEvent("no response from the upstream", permit, log.Fields{
-		"failure": string(failure.Failure), "fault": string(failure.Reason), "received": failure.Received,
+		"failure": string(failure.Failure), "upstreamStatus": status, "fault": string(failure.Reason), "received": failure.Received,
 		fieldCause: shorten(failure.Cause.Error()), "mayHaveRun": exchange.mayHaveRun, "helper": outcome.Helper, "atFault": outcome.AtFault,
 	})
 	// A caller that leaves ends an idempotent request within a response that may be fine.
@@ -522,6 +531,8 @@
 	switch {
 	case exchange.request.Context().Err() != nil:
 		return admit.ResultLeft
+	case outcome.Failure.Failure == failureUnproven:
+		return admit.ResultErred
 	case outcome.AtFault:
 		return admit.ResultFailed
 	default:
