Count a write to a link that failed as one that may have been sent

What callers could see: a booking that ran twice. A request whose path to the upstream is broken goes through another host, and through the next one if the first did not get it.

Cause: a failed write to a link counted as not sent. gnet queues a write for its event loop before it may report an error, so that the other host may get it all the same. Found by reading, while listing every way by which a request ID is sent twice; not seen in a run.

Change: only a link that has no connection yet did not send. Other failures leave the outcome unknown, and the request is not given to the next host.

Evidence: the second case of TestFailedWriteMayHaveBeenSent fails without the change, by its assertion on ErrNotSent.

--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -21,6 +21,8 @@
 	ErrNotSent = Error.New("the request was not sent")
 	// ErrLost is returned if the link ended after the request may have been sent.
 	ErrLost = Error.New("the link was lost")
+	// errNotOpen is returned by writes to a link without a connection.
+	errNotOpen = Error.New("the link is not open")
 )
 
 // Client keeps one link to each host that it sends requests to.
@@ -95,7 +97,10 @@
 	}
 	if err := link.write(encoded); err != nil {
 		link.removePending(number)
-		return Payload{}, errors.Join(ErrNotSent, Error.New("send: %w", err))
+		if errors.Is(err, errNotOpen) {
+			return Payload{}, errors.Join(ErrNotSent, err)
+		}
+		return Payload{}, errors.Join(ErrLost, err) // the event loop may have it
 	}
 	select {
 	case payload, ok := <-reply:
@@ -208,7 +213,7 @@
 	conn := outbound.conn
 	outbound.mutex.Unlock()
 	if conn == nil {
-		return Error.New("link to %s is not open", outbound.address)
+		return Error.New("link to %s: %w", outbound.address, errNotOpen)
 	}
 	if err := conn.AsyncWrite(frame.encode(), nil); err != nil {
 		return Error.New("write: %w", err)
--- a/internal/peer/links/links_test.go
+++ b/internal/peer/links/links_test.go
@@ -192,3 +192,34 @@
 		}
 	})
 }
+
+// failingConn is a connection whose writes may fail after they were queued.
+type failingConn struct{ gnet.Conn }
+
+// AsyncWrite implements gnet.Conn.
+func (failingConn) AsyncWrite([]byte, gnet.AsyncCallback) error { return net.ErrClosed }
+
+// TestFailedWriteMayHaveBeenSent guards against a request that is given to another host, and
+// so runs twice, because its write failed after the event loop had got it.
+func TestFailedWriteMayHaveBeenSent(t *testing.T) {
+	cases := []struct {
+		name    string
+		conn    gnet.Conn
+		notSent bool
+	}{
+		{"no connection", nil, true},
+		{"the write failed", failingConn{}, false},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			address := freeAddress(t)
+			link := &outbound{address: address, conn: testcase.conn, ready: make(chan struct{}), closed: make(chan struct{}), pending: map[uint64]chan Payload{}}
+			close(link.ready)
+			client := &Client{links: map[netip.AddrPort]*outbound{address: link}}
+			_, err := client.Call(t.Context(), address, Payload{Kind: "any"})
+			is.Equal(errors.Is(err, ErrNotSent), testcase.notSent)
+			is.Equal(errors.Is(err, ErrLost), !testcase.notSent)
+		})
+	}
+}
