Refuse what may outlast a planned stop, and answer what still runs at its end

What callers saw: requests that came late in the grace time of an entry host were passed on and cut off at its end, among them bookings.

Cause: while it stops, a host took each request that came, on kept connections and on ones that had been accepted before the port closed, however long it might take. At the end of the grace time it closed them. Requests that it sent for other hosts were cut off as soon as its own callers were done, and the peer port took up to half a second more to close than its sockets did, so that the process was killed before it had ended.

Change: a host that stops refuses a request whose time ends after its own, with a time to come back that is short, as other hosts serve it. It declines such requests of other hosts. Those that still run at the end of the grace time get an answer: not run if they were not sent, 502 otherwise. It waits for the requests of other hosts. The margin before the end of the grace time is a sixth of it at most.

--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -104,7 +104,7 @@
 }
 
 // Sender sends the requests of one host to upstreams. It is safe for concurrent use. All
-// fields but Others and OnLeaving must be set.
+// fields but Others, OnLeaving and StopsAt must be set.
 type Sender struct {
 	// Self is the name of this host.
 	Self  string
@@ -122,6 +122,9 @@
 	DrainTime time.Duration
 	// OnLeaving, if set, is called when an upstream first says that it leaves.
 	OnLeaving func(target admit.Target, drainDeadline time.Time)
+	// StopsAt returns when this host will have stopped, or the zero time while it does not
+	// stop. It takes no requests of other hosts whose time lasts longer.
+	StopsAt func() time.Time
 	// Crashes learns which requests of other hosts lost their upstream.
 	Crashes *crash.Detector
 	Clock   clockwork.Clock
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -446,3 +446,32 @@
 	})
 	is.Equal(conns, attempts)
 }
+
+// TestStoppingHostTakesNothingThatOutlastsIt guards against requests of other hosts that a
+// host which stops sends and then cuts off.
+func TestStoppingHostTakesNothingThatOutlastsIt(t *testing.T) {
+	cases := []struct {
+		name    string
+		stopsIn time.Duration
+		helper  string
+	}{
+		{"no stop", 0, "b"},
+		{"stops after the request's time", longTimeout + time.Second, "b"},
+		{"stops before", longTimeout - time.Second, "c"},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(t, 3)
+			fleet.hosts[0].cut.Store(true)
+			stopsAt := time.Time{}
+			if testcase.stopsIn > 0 {
+				stopsAt = fleet.clock.Now().Add(testcase.stopsIn)
+			}
+			fleet.hosts[1].StopsAt = func() time.Time { return stopsAt }
+			is.Equal(fleet.send(t.Context()).Helper, testcase.helper)
+			is.Equal(fleet.runs.Load(), int64(1))
+			is.Equal(fleet.hosts[1].Forwarding(), int64(0))
+		})
+	}
+}
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"damaskcrank.example/damaskcrank/internal/base/codec"
 	"damaskcrank.example/damaskcrank/internal/control/state"
@@ -107,7 +108,7 @@
 
 func (sender *Sender) serve(ctx context.Context, message forwardMessage, body []byte) *forwardReply {
 	defer sender.forwarding.Add(-1)
-	if sender.forwarding.Add(1) > max(minForwarding, sender.sending.Load()) {
+	if sender.forwarding.Add(1) > max(minForwarding, sender.sending.Load()) || sender.stopsWithin(message.Left) {
 		return &forwardReply{Outcome: forwardDeclined}
 	}
 	target, known := sender.Scheduler.Target(message.Service, message.owner())
@@ -141,6 +142,18 @@
 	}
 }
 
+// stopsWithin reports whether this host will have stopped before a time is over.
+func (sender *Sender) stopsWithin(left time.Duration) bool {
+	if sender.StopsAt == nil {
+		return false
+	}
+	stopsAt := sender.StopsAt()
+	return !stopsAt.IsZero() && sender.Clock.Now().Add(left).After(stopsAt)
+}
+
+// Forwarding returns the number of requests of other hosts in progress.
+func (sender *Sender) Forwarding() int64 { return sender.forwarding.Load() }
+
 func (sender *Sender) unreached() forwardOutcome {
 	if sender.Paths.Isolated() {
 		return forwardIsolated
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -56,6 +56,9 @@
 	quarantineRetryAfter = time.Hour
 	// maxUnsent bounds the attempts of a request that reach no upstream.
 	maxUnsent = 3
+	// stopRetryAfter is the Retry-After for requests that a host which stops does not take.
+	// Other hosts serve them at once.
+	stopRetryAfter = 10 * time.Millisecond
 	// maxCauseBytes bounds the text of an error in a log line.
 	maxCauseBytes = 256
 )
@@ -156,9 +159,15 @@
 	StartedAt time.Time
 	// Draining reports whether callers' connections should be closed.
 	Draining func() bool
-	Clock    clockwork.Clock
-	Log      log.Interface
-	Stats    *stats.Set
+	// StopsAt, if set, returns when the host will have stopped, or the zero time while it
+	// does not stop. Requests whose time lasts longer are refused.
+	StopsAt func() time.Time
+	// Ending, if set, ends shortly before the host does. Requests in progress are answered
+	// then.
+	Ending context.Context //nolint:containedctx // it ends with the host
+	Clock  clockwork.Clock
+	Log    log.Interface
+	Stats  *stats.Set
 
 	running atomic.Int64
 	// bodyBytes is what the bodies of all requests in progress take.
@@ -269,6 +278,9 @@
 	exchange.route = route
 	exchange.deadline = exchange.arrived.Add(min(route.Timeout, callerTimeout(exchange.caller)))
 	exchange.priority = route.Priority
+	if refusal := exchange.checkStop(); refusal != nil {
+		return refusal
+	}
 	if !route.Public && view.NeedsKeys() {
 		if refusal := exchange.authenticate(age); refusal != nil {
 			return refusal
@@ -359,6 +371,7 @@
 func (exchange *exchange) serve() {
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), time.Now().Add(exchange.deadline.Sub(exchange.relay.Clock.Now())))
 	defer cancel()
+	defer exchange.relay.endWith(cancel)()
 	for {
 		retry := exchange.attempt(ctx)
 		if !retry {
@@ -451,6 +464,7 @@
 	if !exchange.route.Idempotent {
 		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadlineOf(ctx))
 		defer cancel()
+		defer exchange.relay.endWith(cancel)()
 		ctx = detached
 	}
 	return exchange.relay.Sender.Send(ctx, permit.Target, detour.Request{
@@ -513,6 +527,9 @@
 		exchange.relay.Stats.Event("response", string(failure.Reason))
 	}
 	switch suspect := failure.MayHaveRun() && exchange.relay.Crashes.Verdict(exchange.content).Ends > 0; {
+	case exchange.relay.ending():
+		exchange.respondRefusal(&admit.Refusal{Reason: reasonStopping, RetryAfter: stopRetryAfter})
+		return false
 	case ctx.Err() != nil:
 		exchange.fail("timeout")
 		return false
@@ -585,6 +602,9 @@
 func (exchange *exchange) respondRefusal(refused *admit.Refusal) {
 	if refused.Reason == admit.ReasonCallerLeft && exchange.request.Context().Err() == nil {
 		refused.Reason = admit.ReasonWaited
+		if exchange.relay.ending() {
+			refused.Reason, refused.RetryAfter = reasonStopping, stopRetryAfter
+		}
 	}
 	if exchange.mayHaveRun {
 		exchange.fail(string(refused.Reason))
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -57,11 +57,6 @@
 	// rejectAgeTenths is the part, in tenths, of the time to apply changes for which the
 	// configuration may be used to reject callers.
 	rejectAgeTenths = 7
-	// healthCheckDelay is how long the load balancer takes to notice that the host
-	// is no longer ready: it checks once a second and acts on the second failure.
-	healthCheckDelay = 2300 * time.Millisecond
-	// graceMargin is subtracted from the time after which the process is killed.
-	graceMargin = 400 * time.Millisecond
 	// retryBurstTenths is the part, in tenths, of the retries beyond the ratio that hosts may
 	// accumulate together: hosts may join before all know of them.
 	retryBurstTenths = 7
@@ -97,6 +92,10 @@
 	health           *http.Server
 	metrics          *http.Server
 	draining         atomic.Bool
+	// stopsAt is when the host will have stopped, nil while it does not stop.
+	stopsAt atomic.Pointer[time.Time]
+	// end ends the requests in progress, which are answered then.
+	end context.CancelFunc
 	// reports receives a signal when there is something that the next poll should report
 	// soon.
 	reports chan struct{}
@@ -138,8 +137,9 @@
 func StartEntry(options Options, protocol relay.Protocol, matches func(*pool.Request, http.Header, bool) bool) (*Entry, error) {
 	settings := options.Settings
 	ctx, cancel := context.WithCancel(context.Background())
+	ending, end := context.WithCancel(context.Background())
 	entry := &Entry{
-		options: options, cancel: cancel, limiter: &share.Limiter{}, requestedKeys: map[string][]uint16{},
+		options: options, cancel: cancel, end: end, limiter: &share.Limiter{}, requestedKeys: map[string][]uint16{},
 		leavingSince: map[string]time.Time{}, knownAddresses: map[netip.AddrPort]bool{}, reports: make(chan struct{}, 1),
 		client:           group.NewClient(settings.ControlHosts(), trust.Secret(settings.Peer.Secret)),
 		scheduler:        admit.NewScheduler(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
@@ -162,6 +162,7 @@
 		Protocol: protocol, Scheduler: entry.scheduler, Permits: entry.permits, Sender: entry.sender, Limiter: entry.limiter, Config: entry.currentConfig,
 		Crashes:      entry.crashes,
 		MaxConfigAge: entry.maxAge(), MaxRejectAge: entry.maxRejectAge(), OnKeyRequest: entry.recordKey, Draining: entry.turnsCallersAway, Clock: options.Clock,
+		StopsAt: entry.stopTime, Ending: ending,
 		Log: options.Log, Stats: options.Stats, StartedAt: options.Clock.Now(),
 	}
 	if err := entry.listen(); err != nil {
@@ -211,7 +212,7 @@
 	entry.primaryScheduler.LimitShare = entry.permits.LimitShare
 	entry.sender = &detour.Sender{
 		Self: settings.Host.Name, Pool: entry.pool, Others: entry.permits.Others, Caller: entry.links, Scheduler: entry.scheduler,
-		ParseNotice: relay.ParseNotices(protocol), DrainTime: entry.drainTime(), OnLeaving: entry.recordLeaving,
+		ParseNotice: relay.ParseNotices(protocol), DrainTime: entry.drainTime(), OnLeaving: entry.recordLeaving, StopsAt: entry.stopTime,
 		Paths:   &paths.Table{Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats},
 		Crashes: entry.crashes, Clock: entry.options.Clock, Log: entry.options.Log, Stats: entry.options.Stats,
 	}
@@ -543,30 +544,10 @@
 // it.
 func (entry *Entry) Done() <-chan struct{} { return nil }
 
-// Stop drains the host without cutting off running requests: the health check
-// fails, the load balancer sends callers elsewhere, and running requests finish.
-// Only those that still run at the end of the grace time are cut off.
-func (entry *Entry) Stop(ctx context.Context) error {
-	entry.options.Log.WithField("running", entry.relay.Running()).Info(logPrefix + "stopping the entry host")
-	entry.draining.Store(true)
-	grace := time.Duration(entry.options.Settings.Bounds.Grace) - graceMargin
-	ctx, cancel := context.WithTimeout(ctx, grace)
-	defer cancel()
-	select {
-	case <-entry.options.Clock.After(min(healthCheckDelay, grace/2)):
-	case <-ctx.Done():
-	}
-	err := entry.callers.Shutdown(ctx)
-	entry.Kill()
-	if err != nil {
-		return Error.New("stop entry host: %w", err)
-	}
-	return nil
-}
-
 // Kill stops the host immediately, without waiting for running requests.
 func (entry *Entry) Kill() {
 	entry.cancel()
+	entry.end()
 	for _, server := range []*http.Server{entry.callers, entry.health, entry.metrics} {
 		if server != nil {
 			_ = server.Close()
--- /dev/null
+++ b/internal/fleet/direct/stop.go
@@ -0,0 +1,77 @@
+package direct
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// healthCheckDelay is how long the load balancer takes to notice that the host
+	// is no longer ready: it checks once a second and acts on the second failure.
+	healthCheckDelay = 2300 * time.Millisecond
+	// graceMargin is subtracted from the time after which the process is killed, but no more
+	// than the part of it that graceParts yields.
+	graceMargin = 400 * time.Millisecond
+	graceParts  = 6
+	// answerParts is the divisor of the margin that yields the time in which requests that
+	// are still in progress are answered and their connections closed.
+	answerParts = 2
+	// stopPollInterval is the time between two looks for requests of other hosts.
+	stopPollInterval = 20 * time.Millisecond
+)
+
+// Stop drains the host without cutting off requests: the health check fails, the load
+// balancer sends callers elsewhere, and running requests finish, those of other hosts too.
+// Requests that may not finish within the grace time are refused from now on. Those that
+// are still running at its end are answered.
+func (entry *Entry) Stop(ctx context.Context) error {
+	entry.options.Log.WithField("running", entry.relay.Running()).Info(logPrefix + "stopping the entry host")
+	grace := time.Duration(entry.options.Settings.Bounds.Grace)
+	margin := min(graceMargin, grace/graceParts)
+	grace -= margin
+	stopsAt := entry.options.Clock.Now().Add(grace)
+	entry.stopsAt.Store(&stopsAt)
+	entry.draining.Store(true)
+	drained, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	select {
+	case <-entry.options.Clock.After(min(healthCheckDelay, grace/2)):
+	case <-drained.Done():
+	}
+	err := entry.callers.Shutdown(drained)
+	if err != nil {
+		entry.options.Log.WithField("running", entry.relay.Running()).Warn(logPrefix + "the grace time is over, answering the requests that still run")
+		entry.end()
+		answered, cancelAnswered := context.WithTimeout(context.WithoutCancel(ctx), margin/answerParts)
+		defer cancelAnswered()
+		err = entry.callers.Shutdown(answered)
+	}
+	if entry.relay.Running() == 0 {
+		err = nil // only connections without a request are left
+	}
+	entry.awaitForwarded(drained)
+	entry.Kill()
+	if err != nil {
+		return Error.New("stop entry host: %w", err)
+	}
+	return nil
+}
+
+// awaitForwarded waits until this host sends no requests for other hosts.
+func (entry *Entry) awaitForwarded(ctx context.Context) {
+	for entry.sender.Forwarding() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-entry.options.Clock.After(stopPollInterval):
+		}
+	}
+}
+
+// stopTime returns when the host will have stopped, or the zero time while it does not stop.
+func (entry *Entry) stopTime() time.Time {
+	if stopsAt := entry.stopsAt.Load(); stopsAt != nil {
+		return *stopsAt
+	}
+	return time.Time{}
+}
--- a/internal/peer/links/server.go
+++ b/internal/peer/links/server.go
@@ -67,6 +67,7 @@
 	go func() {
 		server.ended <- gnet.Rotate(server, addresses,
 			gnet.WithMulticore(true), gnet.WithReuseAddr(true), gnet.WithLogger(discardLogger{}), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+		close(server.ended)
 	}()
 	select {
 	case <-server.booted:
@@ -216,10 +217,17 @@
 func (server *Server) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := server.engine.Stop(ctx); err != nil {
-		return Error.New("close peer port: %w", err)
+	// Stop returns at its next look, up to half a second after the event loops have ended.
+	go func() { _ = server.engine.Stop(ctx) }()
+	select {
+	case err := <-server.ended:
+		if err != nil {
+			return Error.New("close peer port: %w", err)
+		}
+		return nil
+	case <-ctx.Done():
+		return Error.New("close peer port: %w", ctx.Err())
 	}
-	return nil
 }
 
 // discardLogger discards gnet's own log lines. This package returns or logs
