--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -69,7 +69,8 @@
 type Failure string
 
 const (
-	// FailureNotSent means that no byte of the request reached the upstream.
+	// FailureNotSent means that the upstream can't have run the request: not even its whole
+	// head was sent.
 	FailureNotSent Failure = "notSent"
 	// FailureRefused means that the upstream's port is closed: the connection was
 	// refused, and nothing was sent.
