--- a/internal/control/group/group_test.go
+++ b/internal/control/group/group_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,11 +37,18 @@
 	client    *Client
 }
 
+// addressGroups counts the calls of freeAddresses.
+var addressGroups atomic.Uint32
+
+// freeAddresses returns addresses with an IP of their own, so that no connection of another
+// test takes one of them before a member listens there, or while it restarts.
 func freeAddresses(t *testing.T, count int) []netip.AddrPort {
 	t.Helper()
+	group := addressGroups.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, 10, byte(group >> 8), byte(group)})
 	var addresses []netip.AddrPort
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
