--- a/internal/control/group/group_test.go
+++ b/internal/control/group/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/netip"
 	"os"
@@ -94,6 +95,9 @@
 	if cluster.nodes[number] != nil {
 		_ = cluster.nodes[number].Close()
 		cluster.nodes[number] = nil
+		// A snapshot that is still being written changes nothing in the folder from now on.
+		cluster.disks[number].Fail(func(files.Operation, string) error { return fs.ErrClosed })
+		cluster.disks[number] = &files.Failing{}
 	}
 }
 
