--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -21,8 +21,9 @@
 
 func main() {
 	cases := map[string]func(*record, bool) (bool, error){
-		"orphan": orphan,
-		"slash":  slash,
+		"orphan":  orphan,
+		"slash":   slash,
+		"encoded": encoded,
 	}
 	if len(os.Args) != argumentCount || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand2 CASE FOLDER")
