Show that a ping of another writer gives keys a second holder

Cause: a ping that lacks version, warmupRemaining, holds and released is taken for a whole one, and a record of a later process at the address of a live server for the end of that server.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,6 +24,7 @@
 		"orphan":  orphan,
 		"slash":   slash,
 		"encoded": encoded,
+		"foreign": foreign,
 	}
 	if len(os.Args) != argumentCount || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand2 CASE FOLDER")
