Show that calls which can't be read in full are acknowledged

Cause: fields that are not known are dropped when a call is decoded, also lists of items and the rows of a list.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 		"slash":   slash,
 		"encoded": encoded,
 		"foreign": foreign,
+		"unread":  unread,
 	}
 	if len(os.Args) != argumentCount || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand2 CASE FOLDER")
