--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -290,7 +290,7 @@
 	Rows    [][]any  `json:"rows"`
 }
 
-// rows returns the rows of a list as maps.
+// items returns the items of a list, each as a map of its fields that are set.
 func (list *list) items() []map[string]any {
 	var items []map[string]any
 	if list == nil {
