Judge changes of the configuration where they are applied

What callers saw: two operators sent at the same time, one the deletion of a service that no route named, the other a route to it. Both were acknowledged.

Cause: whether a deletion leaves a route without its service, and whether the configuration is too large, was judged on a catalog read before the proposal. Members judge changed routes only where they apply a change.

Ruled out: a stale read (it is linearizable), the order's ticket (it counts refused changes and evacuations), routes judged on an old state (they are judged where they are applied).

Change: a new command, ChangeItems, in a new format of the log, is judged as a whole where it is applied; the leader writes it whatever version proposes. Hosts that follow the catalog get accepted changes as before. Until all members know the format, the leader appends the deletion of a service only once all changes before it are applied and no route names it, and hosts refuse it with 503 under a leader of the former version. A configuration that is too large may shrink. TestOrphans and the lines on SizeWith became TestMergeChecked, which has their cases and more.

On a busy machine TestDisksFullInTurn and TestSnapshotReceivedOnFullDisk of control/group time out; the former on the untouched code, too.

--- a/internal/control/group/apply.go
+++ b/internal/control/group/apply.go
@@ -116,8 +116,10 @@
 		node.machine.Catalog = node.machine.Catalog.AdvanceTo(entry.Index)
 		return state.Result{Index: entry.Index, Outcome: state.OutcomeInvalid, Detail: err.Error()}
 	}
-	if result.Outcome == state.OutcomeInvalid || result.Outcome == state.OutcomeConflict {
+	switch result.Outcome {
+	case state.OutcomeInvalid, state.OutcomeConflict, state.OutcomeTooLarge:
 		node.orders.refusals++
+	default:
 	}
 	if change != nil {
 		node.addDelta(entry.Index, change)
--- a/internal/control/group/change_test.go
+++ b/internal/control/group/change_test.go
@@ -7,12 +7,13 @@
 	"github.com/matryer/is"
 
 	"damaskcrank.example/damaskcrank/internal/control/raft"
+	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
 // receive lets the node handle a message of the member "b".
 func receive(node *Node, message raft.Message) {
 	envelope := raft.Envelope{From: "b", To: node.id, Message: message}
-	node.processBatch(deliverRequest{envelopes: []raft.Envelope{envelope}})
+	node.processBatch(deliverRequest{envelopes: []raft.Envelope{envelope}, format: state.LatestFormat})
 }
 
 // loadLeaderOfThree returns a node without an event loop that leads the group of
--- a/internal/control/group/format.go
+++ b/internal/control/group/format.go
@@ -74,17 +74,23 @@
 	node.options.Log.WithField("format", format).Info(logPrefix + "all members know a later format of the log, using it")
 }
 
-// identified returns the encoding of a proposal's command for the log.
-func (node *Node) identified(proposal proposeRequest) []byte {
+// logged returns the encoding of a proposal's command for the log.
+func (node *Node) logged(proposal proposeRequest) ([]byte, error) {
+	command := proposal.command
+	if node.machine.Format >= state.FormatCheckedItems {
+		var err error
+		if command, err = state.Checked(command); err != nil {
+			return nil, Error.New("propose: %w", err)
+		}
+	}
 	if proposal.id.Proposer == 0 || node.machine.Format < state.FormatIdentified {
-		return proposal.command
+		return command, nil
 	}
-	data, err := state.Identify(proposal.id, proposal.command)
+	command, err := state.Identify(proposal.id, command)
 	if err != nil {
-		node.options.Log.WithError(err).Error(logPrefix + "cannot add the identity of a proposal, committing it without")
-		return proposal.command
+		return nil, Error.New("propose: %w", err)
 	}
-	return data
+	return command, nil
 }
 
 // logOutdated logs, at most once in formatRetryInterval, that messages of a member are
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -166,6 +166,7 @@
 	// be.
 	compactAt time.Time
 	orders    orderCounts
+	items     itemsInLog
 	// logBytes is the size of the commands applied since the last snapshot.
 	logBytes int
 	changed  chan struct{}
--- a/internal/control/group/propose.go
+++ b/internal/control/group/propose.go
@@ -80,6 +80,7 @@
 // those that are bound to a term in which this member does not lead now.
 func (node *Node) propose(work *batchWork) {
 	accepted := node.pendingBytes
+	var commands [][]byte
 	proposals := slices.DeleteFunc(work.proposals, func(proposal proposeRequest) bool {
 		switch {
 		case proposal.inTerm && !node.leadsIn(proposal.term), proposal.ticket.Term != 0 && !node.leadsIn(node.core.Term()):
@@ -89,20 +90,22 @@
 			proposal.reply <- proposeAnswer{err: errTooMuchPending}
 			return true
 		}
-		if !node.admits(proposal) {
+		command, err := node.logged(proposal)
+		if err != nil {
+			proposal.reply <- proposeAnswer{err: err}
+			return true
+		}
+		if !node.admits(proposal) || !node.admitsItems(proposal.command, node.core.LastIndex()+uint64(len(commands))+1) {
 			proposal.reply <- proposeAnswer{stale: true}
 			return true
 		}
+		commands = append(commands, command)
 		accepted += len(proposal.command)
 		return false
 	})
 	if len(proposals) == 0 {
 		return
 	}
-	commands := make([][]byte, 0, len(proposals))
-	for _, proposal := range proposals {
-		commands = append(commands, node.identified(proposal))
-	}
 	output := node.step(raft.Propose{Commands: commands}, work)
 	for offset, proposal := range proposals {
 		if output.Err != nil {
--- a/internal/control/group/ticket.go
+++ b/internal/control/group/ticket.go
@@ -25,6 +25,10 @@
 	// before, and Refusals that of refused changes of the configuration.
 	Evacuations uint64
 	Refusals    uint64
+	// Format is the format of the log, and GuardsServices is set if the leader keeps services
+	// that routes name, whatever the format is. Leaders of earlier versions set neither.
+	Format         uint64
+	GuardsServices bool
 }
 
 // ErrStaleTicket is returned for a proposal whose ticket is not valid any more. It may have
@@ -42,6 +46,7 @@
 	return Ticket{
 		Term: node.core.Term(), IssuedAt: node.options.Clock.Now(),
 		Evacuations: node.orders.evacuations, Refusals: node.orders.refusals,
+		Format: node.machine.Format, GuardsServices: true,
 	}, true
 }
 
--- a/internal/control/items/items.go
+++ b/internal/control/items/items.go
@@ -102,6 +102,9 @@
 
 func (item Item) key() string { return string(item.Kind) + "/" + item.Name }
 
+// DeletesService reports whether the item deletes a service.
+func (item Item) DeletesService() bool { return item.Kind == KindService && item.Deleted }
+
 // equal reports whether two items of the same version have the same content.
 func (item Item) equal(other Item) bool {
 	return item.Deleted == other.Deleted && bytes.Equal(item.Source, other.Source)
@@ -156,8 +159,13 @@
 	OutcomeResent   Outcome = "resent"
 	OutcomeConflict Outcome = "conflict"
 	OutcomeInvalid  Outcome = "invalid"
+	OutcomeTooLarge Outcome = "tooLarge"
 )
 
+// MaxBytes bounds the size of a configuration, which control hosts hold in memory several
+// times. All members must apply the same bound: another one needs a format of the log.
+const MaxBytes = 4 << 20
+
 // Merge returns the set with either all of the changes or none. Changes with a
 // version at or below the present one have no effect, but different content under
 // the present version is a conflict.
@@ -190,6 +198,23 @@
 	return next, OutcomeDone, nil
 }
 
+// MergeChecked is like Merge, but judges the configuration as a whole, too. It refuses changes
+// that delete a service which a route still names, and those that let the set grow beyond
+// MaxBytes.
+func (set Set) MergeChecked(changes []Item) (Set, Outcome, error) {
+	next, outcome, err := set.Merge(changes)
+	if outcome != OutcomeDone {
+		return next, outcome, err
+	}
+	if err := next.findOrphan(changes); err != nil {
+		return set, OutcomeInvalid, err
+	}
+	if size := next.size(); size > MaxBytes && size > set.size() {
+		return set, OutcomeTooLarge, Error.New("the configuration would take more than %d bytes", MaxBytes)
+	}
+	return next, OutcomeDone, nil
+}
+
 // Trim returns the changes that may have an effect on the set or on any later one: those
 // above the present version, and those that conflict with it. It returns an error if any
 // change is invalid by itself.
@@ -213,19 +238,12 @@
 // size returns about how many bytes an item takes when it is encoded.
 func (item Item) size() int { return itemBytes + len(item.Name) + len(item.Source) }
 
-// SizeWith returns about how many bytes the set takes when it is encoded, once it has the
-// changes.
-func (set Set) SizeWith(changes []Item) int {
+// size returns about how many bytes the set takes when it is encoded.
+func (set Set) size() int {
 	size := 0
 	for _, item := range set.Items {
 		size += item.size()
 	}
-	for _, change := range changes {
-		size += change.size() - set.Items[change.key()].size()
-		if _, exists := set.Items[change.key()]; !exists {
-			size += itemBytes
-		}
-	}
 	return size
 }
 
@@ -258,20 +276,17 @@
 	return nil
 }
 
-// Orphans returns an error if the changes delete a service that a route still names.
-func (set Set) Orphans(changes []Item) error {
-	next, outcome, _ := set.Merge(changes)
-	if outcome != OutcomeDone {
-		return nil // it is refused for another reason, or has no effect
-	}
+// findOrphan returns an error if a route names a service that the changes, which the set
+// includes, delete.
+func (set Set) findOrphan(changes []Item) error {
 	for _, change := range changes {
-		if !change.Deleted || change.Kind != KindService {
+		if !change.DeletesService() {
 			continue
 		}
-		if _, ok := next.Service(change.Name); ok {
+		if _, ok := set.Service(change.Name); ok {
 			continue
 		}
-		if route, ok := next.routeTo(change.Name); ok {
+		if route, ok := set.routeTo(change.Name); ok {
 			return Error.New("route %q refers to service %q, which is to be deleted", route, change.Name)
 		}
 	}
--- a/internal/control/items/items_test.go
+++ b/internal/control/items/items_test.go
@@ -139,10 +139,6 @@
 			}
 		})
 	}
-	grown := append([]Item{}, newRoute("s", "/b/", "jobs", 1))
-	is := is.New(t)
-	is.Equal(set.SizeWith(grown), set.SizeWith(nil)+grown[0].size())
-	is.Equal(set.SizeWith([]Item{route}), set.SizeWith(nil))
 }
 
 // TestDeletedWorkspacesKeepRoutesClosed guards against routes that are open to everybody
@@ -180,26 +176,60 @@
 	}
 }
 
-// TestOrphans guards against routes whose service is gone: their requests would be sent as
-// those of a service without keys.
-func TestOrphans(t *testing.T) {
-	set, _, err := Set{}.Merge([]Item{newService("jobs", 1), newService("desk", 1), newRoute("r", "/a/", "jobs", 1)})
-	is.New(t).NoErr(err)
+// TestMergeChecked guards against routes whose service is gone, as their requests would be sent
+// as those of a service without keys, and against a configuration that holds such a route or is
+// too large and can't be mended.
+func TestMergeChecked(t *testing.T) {
+	jobs, desk, route := newService("jobs", 1), newService("desk", 1), newRoute("r", "/a/", "jobs", 1)
+	whole := []Item{jobs, desk, route}
+	// An earlier version accepted a route to a service that was deleted meanwhile.
+	orphaned := append(whole, deleted(jobs, 2))
+	padded := func(name string, version uint64, size int) Item {
+		item := newService(name, version)
+		item.Source = make([]byte, size-itemBytes-len(name))
+		return item
+	}
+	left := MaxBytes - Set{Items: map[string]Item{"": jobs, "d": desk, "r": route}}.size()
 	cases := []struct {
 		name    string
+		before  []Item
 		changes []Item
-		orphans bool
+		want    Outcome
 	}{
-		{"a service that no route names", []Item{deleted(newService("desk", 1), 2)}, false},
-		{"a service that a route names", []Item{deleted(newService("jobs", 1), 2)}, true},
-		{"together with its route", []Item{deleted(newService("jobs", 1), 2), deleted(newRoute("r", "", "", 1), 2)}, false},
-		{"while its route moves", []Item{deleted(newService("jobs", 1), 2), newRoute("r", "/a/", "desk", 2)}, false},
-		{"an older deletion", []Item{deleted(newService("jobs", 1), 0)}, false},
-		{"a route", []Item{deleted(newRoute("r", "", "", 1), 2)}, false},
+		{"a service that no route names", whole, []Item{deleted(desk, 2)}, OutcomeDone},
+		{"a service that a route names", whole, []Item{deleted(jobs, 2)}, OutcomeInvalid},
+		{"together with its route", whole, []Item{deleted(jobs, 2), deleted(route, 2)}, OutcomeDone},
+		{"while its route moves", whole, []Item{deleted(jobs, 2), newRoute("r", "/a/", "desk", 2)}, OutcomeDone},
+		{"an older deletion", whole, []Item{deleted(jobs, 0)}, OutcomeResent},
+		{"an older deletion and a new item", whole, []Item{deleted(jobs, 0), newService("more", 1)}, OutcomeDone},
+		{"a route", whole, []Item{deleted(route, 2)}, OutcomeDone},
+		{"a deletion and a route to the service in one call", whole, []Item{deleted(desk, 2), newRoute("s", "/s/", "desk", 1)}, OutcomeInvalid},
+		{"other content under the version in force", whole, []Item{deleted(jobs, 1)}, OutcomeConflict},
+		{"an orphan stays while others change", orphaned, []Item{newService("desk", 2)}, OutcomeDone},
+		{"an orphan's service is deleted once more", orphaned, []Item{deleted(jobs, 3)}, OutcomeInvalid},
+		{"an orphan's deletion is sent again", orphaned, []Item{deleted(jobs, 2)}, OutcomeResent},
+		{"an orphan gets its service back", orphaned, []Item{newService("jobs", 3)}, OutcomeDone},
+		{"an orphan moves", orphaned, []Item{newRoute("r", "/a/", "desk", 2)}, OutcomeDone},
+		{"an orphan is deleted", orphaned, []Item{deleted(route, 2)}, OutcomeDone},
+		{"as large as allowed", whole, []Item{padded("big", 1, left)}, OutcomeDone},
+		{"a byte more", whole, []Item{padded("big", 1, left+1)}, OutcomeTooLarge},
+		{"too large shrinks", append(whole, padded("big", 1, 2*left)), []Item{padded("big", 2, 2*left-1)}, OutcomeDone},
+		{"too large grows", append(whole, padded("big", 1, 2*left)), []Item{newService("more", 1)}, OutcomeTooLarge},
+		{"too large is deleted", append(whole, padded("big", 1, 2*left)), []Item{deleted(newService("big", 1), 2)}, OutcomeDone},
 	}
 	for _, testcase := range cases {
 		t.Run(testcase.name, func(t *testing.T) {
-			is.New(t).Equal(set.Orphans(testcase.changes) != nil, testcase.orphans)
+			is := is.New(t)
+			set, _, err := Set{}.Merge(testcase.before[:min(3, len(testcase.before))])
+			is.NoErr(err)
+			set, _, err = set.Merge(testcase.before)
+			is.NoErr(err)
+			next, outcome, err := set.MergeChecked(testcase.changes)
+			is.Equal(outcome, testcase.want)
+			is.Equal(err == nil, outcome == OutcomeDone || outcome == OutcomeResent)
+			if outcome != OutcomeDone {
+				is.Equal(next, set) // nothing of the call is in force
+			}
 		})
 	}
 }
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -229,6 +229,7 @@
 	kindPutItems:            decodeAs[PutItems],
 	kindEvacuateDataCentre:  decodeAs[EvacuateDataCentre],
 	kindRegisterInstance:    decodeAs[RegisterInstance],
+	kindChangeItems:         decodeAs[ChangeItems],
 	kindMarkSilent:          decodeAs[MarkSilent],
 	kindMarkDraining:        decodeAs[MarkDraining],
 	kindRemoveInstances:     decodeAs[RemoveInstances],
@@ -279,6 +280,7 @@
 	OutcomeResent     Outcome = "resent"
 	OutcomeConflict   Outcome = "conflict"
 	OutcomeInvalid    Outcome = "invalid"
+	OutcomeTooLarge   Outcome = "tooLarge"
 	OutcomeStale      Outcome = "stale"
 	OutcomeInProgress Outcome = "inProgress"
 	OutcomeFinished   Outcome = "finished"
--- a/internal/control/state/direct.go
+++ b/internal/control/state/direct.go
@@ -54,9 +54,24 @@
 // RegisterControlHost registers a control host.
 type RegisterControlHost struct{ ControlHost ControlHost }
 
-// PutItems stores versions of configuration items atomically.
+// PutItems stores versions of configuration items atomically. It judges changed routes and
+// the keys of workspaces only.
 type PutItems struct{ Items []items.Item }
 
+// ChangeItems is like PutItems, but judges the configuration as a whole where it is applied,
+// see items.Set.MergeChecked.
+type ChangeItems struct{ Items []items.Item }
+
+// encodeForFollowers returns the command that followers of the catalog need, which may be of a
+// version that does not know ChangeItems: what was accepted needs no second judgement. It is
+// nil if nothing changed.
+func (changeitems ChangeItems) encodeForFollowers(result Result) ([]byte, error) {
+	if result.Outcome != OutcomeDone {
+		return nil, nil
+	}
+	return EncodeCommand(PutItems(changeitems))
+}
+
 // EvacuateDataCentre starts or ends the evacuation of a data centre. Its upstreams
 // receive no new work meanwhile.
 type EvacuateDataCentre struct {
@@ -94,6 +109,7 @@
 
 const (
 	kindPutItems            commandKind = "putItems"
+	kindChangeItems         commandKind = "changeItems"
 	kindEvacuateDataCentre  commandKind = "evacuateDataCentre"
 	kindRegisterInstance    commandKind = "seeInstance"
 	kindMarkSilent          commandKind = "markSilent"
@@ -106,6 +122,7 @@
 )
 
 func (PutItems) kind() commandKind            { return kindPutItems }
+func (ChangeItems) kind() commandKind         { return kindChangeItems }
 func (EvacuateDataCentre) kind() commandKind  { return kindEvacuateDataCentre }
 func (RegisterInstance) kind() commandKind    { return kindRegisterInstance }
 func (MarkSilent) kind() commandKind          { return kindMarkSilent }
@@ -122,13 +139,37 @@
 	return codec.Unmarshal(command, &tagged) == nil && tagged.Kind == kindEvacuateDataCentre
 }
 
+// ItemsOf returns the changes of the configuration that an encoded command holds, and reports
+// whether it is PutItems.
+func ItemsOf(command []byte) ([]items.Item, bool) {
+	var tagged taggedCommand
+	var putitems PutItems
+	isItems := codec.Unmarshal(command, &tagged) == nil && tagged.Kind == kindPutItems &&
+		codec.Unmarshal(tagged.Body, &putitems) == nil
+	return putitems.Items, isItems
+}
+
+// Checked returns an encoded PutItems as ChangeItems, and other commands as they are.
+func Checked(command []byte) ([]byte, error) {
+	var tagged taggedCommand
+	if codec.Unmarshal(command, &tagged) != nil || tagged.Kind != kindPutItems {
+		return command, nil
+	}
+	tagged.Kind = kindChangeItems
+	data, err := codec.Marshal(tagged)
+	if err != nil {
+		return nil, Error.New("encode %s: %w", tagged.Kind, err)
+	}
+	return data, nil
+}
+
 // applyDirect applies the commands of fleets whose entry hosts send requests
 // directly to upstreams, and reports whether the command was one of them.
 func (catalog *Catalog) applyDirect(index uint64, command Command) (Result, bool) {
 	done := Result{Index: index, Outcome: OutcomeDone}
 	switch command := command.(type) {
-	case PutItems:
-		return catalog.putItems(index, command), true
+	case PutItems, ChangeItems:
+		return catalog.applyItems(index, command), true
 	case EvacuateDataCentre:
 		if command.Evacuated {
 			if _, already := catalog.Evacuated[command.Name]; !already {
@@ -183,8 +224,17 @@
 	}
 }
 
-func (catalog *Catalog) putItems(index uint64, command PutItems) Result {
-	set, outcome, err := catalog.Items.Merge(command.Items)
+// applyItems applies a PutItems or ChangeItems.
+func (catalog *Catalog) applyItems(index uint64, command Command) Result {
+	var set items.Set
+	var outcome items.Outcome
+	var err error
+	switch command := command.(type) {
+	case PutItems:
+		set, outcome, err = catalog.Items.Merge(command.Items)
+	case ChangeItems:
+		set, outcome, err = catalog.Items.MergeChecked(command.Items)
+	}
 	result := Result{Index: index}
 	switch outcome {
 	case items.OutcomeDone:
@@ -197,6 +247,8 @@
 		result.Outcome = OutcomeConflict
 	case items.OutcomeInvalid:
 		result.Outcome = OutcomeInvalid
+	case items.OutcomeTooLarge:
+		result.Outcome = OutcomeTooLarge
 	}
 	if err != nil {
 		result.Detail = shortenDetail(err.Error())
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -39,7 +39,10 @@
 	if ChangesLedgerOnly(command) {
 		return result, nil, nil
 	}
-	return result, data, nil
+	if changeitems, ok := command.(ChangeItems); ok {
+		data, err = changeitems.encodeForFollowers(result)
+	}
+	return result, data, err
 }
 
 // applyOnce applies a command unless it repeats an earlier proposal. A repeat gets the
--- a/internal/control/state/proposal.go
+++ b/internal/control/state/proposal.go
@@ -14,8 +14,10 @@
 	FormatIdentified
 	// FormatRollouts also has the commands of rollouts.
 	FormatRollouts
+	// FormatCheckedItems has ChangeItems in place of PutItems.
+	FormatCheckedItems
 	// LatestFormat is the latest format that this version knows.
-	LatestFormat = FormatRollouts
+	LatestFormat = FormatCheckedItems
 )
 
 const (
--- a/internal/control/state/rollout_test.go
+++ b/internal/control/state/rollout_test.go
@@ -99,6 +99,29 @@
 	is.Equal(apply(StartRollout{Service: billing, Target: "v9", Duration: order.Duration}).Outcome, OutcomeDone)
 }
 
+// TestRolloutsOfDeletedServices guards against an order for a service that was deleted after the
+// order was looked at, and against a rollout whose service was deleted and that nothing can end.
+func TestRolloutsOfDeletedServices(t *testing.T) {
+	gone := ChangeItems{Items: []items.Item{{Kind: items.KindService, Name: billing, Version: 2, Deleted: true}}}
+	back := ChangeItems{Items: []items.Item{{Kind: items.KindService, Name: billing, Version: 3, Service: &items.Service{}}}}
+	order := StartRollout{Service: billing, Target: "v2", Duration: time.Minute}
+	is := is.New(t)
+	machine, apply := rolloutMachine(t)
+	is.Equal(apply(gone).Outcome, OutcomeDone)
+	is.Equal(apply(order).Outcome, OutcomeInvalid)
+	is.Equal(apply(back).Outcome, OutcomeDone)
+	is.Equal(apply(order).Outcome, OutcomeDone)
+	gone.Items[0].Version = 4
+	is.Equal(apply(gone).Outcome, OutcomeDone)
+	base := machine.Catalog.Rollouts[billing].Changed
+	is.Equal(apply(SetExposure{Service: billing, Base: base, Exposure: 100}).Outcome, OutcomeDone)
+	base = machine.Catalog.Rollouts[billing].Changed
+	is.Equal(apply(EndRollout{Service: billing, Base: base, Reason: "test"}).Outcome, OutcomeDone)
+	back.Items[0].Version = 5
+	is.Equal(apply(back).Outcome, OutcomeDone)
+	is.Equal(apply(StartRollout{Service: billing, Target: "v3", Duration: time.Minute}).Outcome, OutcomeDone)
+}
+
 // TestRolloutSurvivesSnapshot guards against an acknowledged order, or a rejected version, that
 // is lost when a host restarts from a snapshot.
 func TestRolloutSurvivesSnapshot(t *testing.T) {
--- a/internal/fleet/direct/caller.go
+++ b/internal/fleet/direct/caller.go
@@ -60,6 +60,11 @@
 		if err != nil {
 			return state.Result{}, err
 		}
+		if putitems, ok := command.(state.PutItems); ok && ticket.Format < state.FormatCheckedItems {
+			if result, err := control.judge(ctx, ticket, putitems.Items); err != nil || result.Outcome != "" {
+				return result, err
+			}
+		}
 		if err := control.awaitCaller(ctx, settle); err != nil {
 			return state.Result{}, err
 		}
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -40,9 +40,6 @@
 	// snapshotEvery is the number of log entries between two snapshots. It is low
 	// because disks are small; catalogs, and so snapshots, are small too.
 	snapshotEvery = 4000
-	// maxConfigurationBytes bounds the whole configuration, which control hosts hold in
-	// memory several times. Items take more than in a call, which names their fields once.
-	maxConfigurationBytes = 4 * maxCallBytes
 	// stopTimeout bounds, when a control host stops, first the handover of
 	// leadership and then the wait for running HTTP requests.
 	stopTimeout = 500 * time.Millisecond
@@ -229,44 +226,54 @@
 }
 
 // ErrTooLarge is returned for a change with which the configuration would be too large.
-var ErrTooLarge = Error.New("the configuration would take more than %d bytes", maxConfigurationBytes)
+var ErrTooLarge = Error.New("the configuration would take more than %d bytes", items.MaxBytes)
 
-// deletesService reports whether a change deletes a service. That no route names it is
-// checked here: control hosts of earlier versions, which apply the change too, do not.
-func deletesService(change items.Item) bool {
-	return change.Kind == items.KindService && change.Deleted
-}
+// ErrLeaderOutdated is returned for a change that deletes a service while the leader is of a
+// version that may acknowledge a route to the service at the same time.
+var ErrLeaderOutdated = Error.New("the control leader is of a version that may commit a route to a deleted service")
 
 // PutItems commits changes of configuration items. Operators may send the whole
 // configuration with each change; only what may have an effect is committed.
 func (control *Control) PutItems(ctx context.Context, changes []items.Item) (state.Result, error) {
 	catalog := control.node.Catalog()
 	trimmed, err := catalog.Items.Trim(changes)
-	if err == nil && slices.ContainsFunc(trimmed, deletesService) {
-		if catalog, err = control.readCatalog(ctx); err != nil {
-			return state.Result{}, err
-		}
-		err = catalog.Items.Orphans(trimmed)
-	}
+	result := state.Result{Index: catalog.Index, Outcome: state.OutcomeResent}
 	switch {
 	case err != nil:
-		result := state.Result{Index: catalog.Index, Outcome: state.OutcomeInvalid, Detail: err.Error()}
-		control.logChange(len(trimmed), len(changes), result)
-		return result, nil
-	case len(trimmed) == 0:
-		result := state.Result{Index: catalog.Index, Outcome: state.OutcomeResent}
-		control.logChange(0, len(changes), result)
-		return result, nil
-	case catalog.Items.SizeWith(trimmed) > maxConfigurationBytes:
-		control.options.Log.WithField("items", len(trimmed)).WithField("bound", maxConfigurationBytes).
-			Warn(logPrefix + "refused a configuration change: the configuration would be too large")
-		return state.Result{}, ErrTooLarge
-	}
-	result, err := control.order(ctx, 0, state.PutItems{Items: trimmed})
-	if err != nil {
-		return result, err
+		result.Outcome, result.Detail = state.OutcomeInvalid, err.Error()
+	case len(trimmed) > 0:
+		if result, err = control.order(ctx, 0, state.PutItems{Items: trimmed}); err != nil {
+			return result, err
+		}
 	}
 	control.logChange(len(trimmed), len(changes), result)
+	if result.Outcome == state.OutcomeTooLarge {
+		return result, ErrTooLarge
+	}
+	return result, nil
+}
+
+// judge refuses changes of the configuration that members accept before
+// state.FormatCheckedItems. The outcome is empty if they may be proposed; the leader then keeps
+// services that routes name, while concurrent changes may exceed the bound on the size.
+func (control *Control) judge(ctx context.Context, ticket group.Ticket, changes []items.Item) (state.Result, error) {
+	if !ticket.GuardsServices && slices.ContainsFunc(changes, items.Item.DeletesService) {
+		control.options.Stats.Event("order", "leaderOutdated")
+		return state.Result{}, ErrLeaderOutdated
+	}
+	catalog, err := control.readCatalog(ctx)
+	if err != nil {
+		return state.Result{}, err
+	}
+	result := state.Result{Index: catalog.Index}
+	_, outcome, err := catalog.Items.MergeChecked(changes)
+	switch outcome {
+	case items.OutcomeInvalid:
+		result.Outcome, result.Detail = state.OutcomeInvalid, err.Error()
+	case items.OutcomeTooLarge:
+		result.Outcome = state.OutcomeTooLarge
+	case items.OutcomeDone, items.OutcomeResent, items.OutcomeConflict:
+	}
 	return result, nil
 }
 
--- a/internal/fleet/direct/control_test.go
+++ b/internal/fleet/direct/control_test.go
@@ -24,6 +24,7 @@
 
 	"damaskcrank.example/damaskcrank/internal/base/conf"
 	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/group"
 	"damaskcrank.example/damaskcrank/internal/control/items"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
@@ -151,7 +152,7 @@
 	defer cancel()
 	_, err := control.PutItems(ctx, wholeConfiguration(10, 1, -1))
 	is.NoErr(err)
-	_, err = control.PutItems(ctx, wholeConfiguration(maxConfigurationBytes/100, 2, -1))
+	_, err = control.PutItems(ctx, wholeConfiguration(items.MaxBytes/100, 2, -1))
 	is.True(errors.Is(err, ErrTooLarge))
 	inForce, err := control.Items(ctx)
 	is.NoErr(err)
@@ -207,6 +208,73 @@
 	is.Equal(len(control.node.Catalog().Items.Active()), 0)
 }
 
+// TestRouteToDeletedService guards against a route whose service is gone (review case 7): one
+// operator deletes a service that no route names, and another adds a route to it at the same time.
+// Exactly one of the two must be acknowledged, and the other refused.
+func TestRouteToDeletedService(t *testing.T) {
+	const pairs = 40
+	is := is.New(t)
+	control := startTestControl(t)
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+	defer cancel()
+	for pair := range pairs {
+		whole := wholeConfiguration(1, uint64(pair+1), -1)
+		whole[0].Name = fmt.Sprintf("jobs-%d", pair)
+		whole[1].Route.Split[0].Service = whole[0].Name
+		_, err := control.PutItems(ctx, whole[:1])
+		is.NoErr(err)
+		gone := items.Item{Kind: items.KindService, Name: whole[0].Name, Version: whole[0].Version + 1, Deleted: true}
+		outcomes := map[state.Outcome]int{}
+		var mutex sync.Mutex
+		var tasks sync.WaitGroup
+		for _, change := range []items.Item{gone, whole[1]} {
+			tasks.Go(func() {
+				result, err := control.PutItems(ctx, []items.Item{change})
+				mutex.Lock()
+				defer mutex.Unlock()
+				if err == nil {
+					outcomes[result.Outcome]++
+				}
+			})
+		}
+		tasks.Wait()
+		is.Equal(outcomes, map[state.Outcome]int{state.OutcomeDone: 1, state.OutcomeInvalid: 1})
+	}
+}
+
+// TestServicesAreKeptUnderFormerLeader guards against a service that is deleted although the
+// leader is of a version that may commit a route to it meanwhile, and against other changes that
+// wait for the upgrade to end.
+func TestServicesAreKeptUnderFormerLeader(t *testing.T) {
+	control := startTestControl(t)
+	whole := wholeConfiguration(1, 1, -1)
+	_, err := control.PutItems(t.Context(), whole)
+	is.New(t).NoErr(err)
+	desk := items.Item{Kind: items.KindService, Name: "desk", Version: 1, Source: []byte("{}"), Service: &items.Service{}}
+	gone := items.Item{Kind: items.KindService, Name: "jobs", Version: 2, Deleted: true}
+	cases := []struct {
+		name    string
+		ticket  group.Ticket
+		changes []items.Item
+		want    state.Outcome
+		err     error
+	}{
+		{"deletion, former leader", group.Ticket{Term: 1}, []items.Item{gone}, "", ErrLeaderOutdated},
+		{"deletion, leader without tickets", group.Ticket{}, []items.Item{gone}, "", ErrLeaderOutdated},
+		{"deletion of a service in use", group.Ticket{Term: 1, GuardsServices: true}, []items.Item{gone}, state.OutcomeInvalid, nil},
+		{"other change, former leader", group.Ticket{Term: 1}, []items.Item{desk}, "", nil},
+		{"too large, former leader", group.Ticket{Term: 1}, wholeConfiguration(items.MaxBytes/100, 2, -1), state.OutcomeTooLarge, nil},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			result, err := control.judge(t.Context(), testcase.ticket, testcase.changes)
+			is.True(errors.Is(err, testcase.err))
+			is.Equal(result.Outcome, testcase.want)
+		})
+	}
+}
+
 // TestEachChangeIsLogged guards against changes of the configuration without a log line, as
 // they are answered without being committed: without effect, or invalid.
 func TestEachChangeIsLogged(t *testing.T) {
