Bound the responses that are read on our own path, of all upstreams together

What callers saw: nothing yet; an operator of a similar system lost hosts to upstreams that sent without end. On our own path each response was bounded (8 MiB unless the service says otherwise, 64 KiB of head), all together were not: as many as there are connections were held until their deadlines.

Cause: upstr.Client had no account of what it holds. The users' path has one (pool).

Change: the account of pool moved to base/bulk, and both paths use it. On our own path responses that are being read, with heads above 64 KiB of cost, take a quarter of host.memory together, 64 MiB at most; beyond, the longest is given up. Its request may have run, and is never called "not run".

--- a/internal/dispatch/pool/body.go
+++ b/internal/dispatch/pool/body.go
@@ -1,22 +1,18 @@
 package pool
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 
+	"damaskcrank.example/damaskcrank/internal/base/bulk"
 	"damaskcrank.example/damaskcrank/internal/base/pacer"
 )
 
 const (
 	// maxResponseBytes bounds the body of a response.
 	maxResponseBytes = 64 << 20
-	// maxBufferedBytes bounds the bodies of all responses that are being read, so that
-	// several upstreams that send without end do not use up the host's memory.
-	maxBufferedBytes = 64 << 20
 	// minPieceBytes and maxPieceBytes bound the size of a piece of a body of unknown
 	// length; the size doubles with the body.
 	minPieceBytes = 4 << 10
@@ -29,7 +25,6 @@
 
 var (
 	errBodyTooLong  = Error.New("the response is longer than %d bytes", maxResponseBytes)
-	errBuffersFull  = Error.New("the responses being read are longer than the limit together, and this is the longest")
 	errOtherRequest = Error.New("the response belongs to another request")
 )
 
@@ -58,70 +53,8 @@
 	return written, nil
 }
 
-// bodies accounts for the bodies that are being read. The zero value is ready to use.
-type bodies struct {
-	mutex sync.Mutex
-	// limit is maxBufferedBytes if it is 0.
-	limit int
-	total int
-	held  map[*conn]int
-}
-
-// setLimit sets the most that several bodies together may take, 0 for the default.
-func (bodies *bodies) setLimit(limit int) {
-	bodies.mutex.Lock()
-	defer bodies.mutex.Unlock()
-	bodies.limit = limit
-}
-
-// add accounts for more bytes of a connection's body. Once several bodies together are
-// longer than the limit, it gives up the longest and closes its connection. It
-// returns errBuffersFull if that was the connection's own body.
-func (bodies *bodies) add(connection *conn, count int) error {
-	bodies.mutex.Lock()
-	defer bodies.mutex.Unlock()
-	if connection.givenUp {
-		return errBuffersFull
-	}
-	if bodies.held == nil {
-		bodies.held = map[*conn]int{}
-	}
-	bodies.held[connection] += count
-	bodies.total += count
-	for bodies.total > cmp.Or(bodies.limit, maxBufferedBytes) && len(bodies.held) > 1 {
-		bodies.giveUpLongest()
-	}
-	if connection.givenUp {
-		return errBuffersFull
-	}
-	return nil
-}
-
-func (bodies *bodies) giveUpLongest() {
-	var longest *conn
-	for connection, count := range bodies.held {
-		if longest == nil || count > bodies.held[longest] {
-			longest = connection
-		}
-	}
-	bodies.total -= bodies.held[longest]
-	delete(bodies.held, longest)
-	longest.givenUp = true
-	_ = longest.Close()
-}
-
-// remove ends the accounting of a connection's body, and reports whether it was given
-// up.
-func (bodies *bodies) remove(connection *conn) bool {
-	bodies.mutex.Lock()
-	defer bodies.mutex.Unlock()
-	bodies.total -= bodies.held[connection]
-	delete(bodies.held, connection)
-	return connection.givenUp
-}
-
 // readBody reads the body of a response to its end.
-func (conn *conn) readBody(ctx context.Context, pool *Pool, request *Request, received *http.Response) (Body, error) {
+func (conn *conn) readBody(ctx context.Context, request *Request, received *http.Response) (Body, error) {
 	request.Flow.Account(pacer.In, responseHeadBytes)
 	request.Flow.Begin(max(received.ContentLength, int64(-1)))
 	if request.OnLargeHead != nil && request.Flow.IsLarge(pacer.In, received.ContentLength) {
@@ -133,10 +66,9 @@
 	if received.ContentLength > maxResponseBytes {
 		return nil, errBodyTooLong
 	}
-	add := func(size int) error { return pool.bodies.add(conn, size) }
-	body, err := ReadBody(pace(ctx, request.Flow, received), received.ContentLength, maxResponseBytes, add)
-	if pool.bodies.remove(conn) {
-		return nil, errBuffersFull
+	body, err := ReadBody(pace(ctx, request.Flow, received), received.ContentLength, maxResponseBytes, conn.held.Add)
+	if conn.held.Release() {
+		return nil, bulk.ErrFull
 	}
 	return body, err
 }
--- a/internal/dispatch/pool/endless_test.go
+++ b/internal/dispatch/pool/endless_test.go
@@ -245,7 +245,7 @@
 		is.Equal(failure.Failure, FailureTimeout)
 		is.Equal(failure.Reason, ReasonUnfinished)
 	}
-	is.Equal(pool.bodies.total, 0)
+	is.Equal(pool.bodies.Total(), 0)
 }
 
 // TestHeadsOfAllResponses guards against heads of many responses at once that have very many
@@ -275,7 +275,7 @@
 	for range fitting {
 		is.Equal((<-failures).Failure, FailureTimeout)
 	}
-	is.Equal(pool.bodies.total, 0)
+	is.Equal(pool.bodies.Total(), 0)
 }
 
 // TestLongBodies guards against losing or reordering bytes of a body that is read in
@@ -313,7 +313,7 @@
 				is.Equal(written, int64(length))
 				is.Equal(response.Body.Len(), length)
 				is.True(received.String() == body)
-				is.Equal(pool.bodies.total, 0)
+				is.Equal(pool.bodies.Total(), 0)
 			})
 		}
 	}
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -24,6 +24,7 @@
 	"github.com/zeebo/errs"
 
 	"damaskcrank.example/damaskcrank/internal/base/budget"
+	"damaskcrank.example/damaskcrank/internal/base/bulk"
 	"damaskcrank.example/damaskcrank/internal/base/pacer"
 	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
@@ -154,7 +155,7 @@
 	Dial  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	Clock clockwork.Clock
 
-	bodies bodies
+	bodies bulk.Bodies
 	// lingering are the connections that are watched for OnLateLoss.
 	lingering sync.WaitGroup
 	mutex     sync.Mutex
@@ -176,15 +177,12 @@
 	// may still be read for it.
 	readsHead bool
 	headLeft  int
-	// headLines is the number of lines of the head so far, headCharged what bodies, which may be
-	// nil, counts for it.
+	// headLines is the number of lines of the head so far, headCharged what held counts for it.
 	headLines, headCharged int
-	bodies                 *bodies
+	// held is what the response takes while it is read, nil before the first.
+	held *bulk.Body
 	// received is the number of bytes read since the last request was sent.
 	received int
-	// givenUp is set once the response's body is given up. The mutex of bodies guards
-	// it.
-	givenUp bool
 	// reused is set once the connection has carried a request.
 	reused bool
 	// carried holds the hashes of the IDs of all requests that were sent.
@@ -348,12 +346,12 @@
 func (conn *conn) chargeHead(data []byte) error {
 	conn.headLines += bytes.Count(data, []byte("\n"))
 	cost := int(budget.HeadCost(maxHeadBytes-conn.headLeft, conn.headLines))
-	if cost <= usualHeadCost || conn.bodies == nil {
+	if cost <= usualHeadCost || conn.held == nil {
 		return nil
 	}
 	more := cost - conn.headCharged
 	conn.headCharged = cost
-	return conn.bodies.add(conn, more)
+	return conn.held.Add(more) //nolint:wrapcheck // its class is told apart by reasonOf
 }
 
 func (pool *Pool) reportUnexpected(address netip.AddrPort) {
@@ -410,9 +408,11 @@
 // receive reads the response that belongs to the request, and reports whether the
 // connection can be reused. Late responses to earlier requests are skipped.
 func (conn *conn) receive(ctx context.Context, pool *Pool, request *Request) (*Response, bool, *SendError) {
-	conn.bodies = &pool.bodies
-	conn.bodies.setLimit(pool.MaxBuffered)
-	defer conn.bodies.remove(conn)
+	pool.bodies.SetLimit(pool.MaxBuffered)
+	if conn.held == nil {
+		conn.held = bulk.NewBody(&pool.bodies, conn)
+	}
+	defer conn.held.Release()
 	response, reusable, err := conn.read(ctx, pool, request)
 	if err == nil {
 		return response, reusable, nil
@@ -445,7 +445,7 @@
 		return ReasonHeadTooLong
 	case errors.Is(err, errBodyTooLong):
 		return ReasonBodyTooLong
-	case errors.Is(err, errBuffersFull):
+	case errors.Is(err, bulk.ErrFull):
 		return ReasonBuffersFull
 	case errors.Is(err, errOtherRequest):
 		return ReasonOtherRequest
@@ -460,14 +460,14 @@
 	for stale := 0; ; stale++ {
 		received, err := conn.readHead(request.Method) //nolint:bodyclose // see above
 		if err != nil {
-			if pool.bodies.remove(conn) {
-				err = errBuffersFull // it may have been given up for another one
+			if conn.held.Release() {
+				err = bulk.ErrFull // it may have been given up for another one
 			}
 			return nil, false, err
 		}
 		reusable := !received.Close
 		if pool.Matches(request, received.Header, conn.reused || stale > 0) {
-			body, err := conn.readBody(ctx, pool, request, received)
+			body, err := conn.readBody(ctx, request, received)
 			if err != nil {
 				return nil, false, err
 			}
@@ -490,7 +490,7 @@
 	for {
 		received, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		switch {
-		case err != nil && conn.headLeft <= 0 && !errors.Is(err, errBuffersFull):
+		case err != nil && conn.headLeft <= 0 && !errors.Is(err, bulk.ErrFull):
 			return nil, errHeadTooLong // the error may be that of a line cut at the limit
 		case err != nil:
 			return nil, Error.New("read response: %w", err)
--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"damaskcrank.example/damaskcrank/internal/base/bulk"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
@@ -21,6 +22,12 @@
 	idleTimeout            = 30 * time.Second
 	maxGrantResponseBytes  = 64 << 10
 	maxResponseHeaderBytes = 64 << 10
+	// usualHeadCost is the cost in bytes up to which the head of a response is a usual one, and
+	// freeBytes the first bytes of a body. Neither is counted with those of other responses.
+	usualHeadCost = 64 << 10
+	freeBytes     = 64 << 10
+	// bodyCopies is the number of copies of a body while it is read: it grows by copying.
+	bodyCopies = 2
 	// maxErrorBytes bounds what an error quotes of a response.
 	maxErrorBytes = 256
 	// lowerIdempotencyKey is deliberately not in canonical form: net/http retries
@@ -33,16 +40,25 @@
 	transport *http.Transport
 	// grants has separate connections, so that requests cannot delay grants.
 	grants *http.Transport
+	// bodies accounts for the responses that are being read.
+	bodies bulk.Bodies
 }
 
 // NewClient returns a client that opens at most the given number of connections to
 // each upstream. Directly before each write to a connection it calls allowed, and
 // the write fails if that returns false. If allowed is nil, all writes are allowed.
 func NewClient(connections int, allowed func() bool) *Client {
-	return &Client{transport: newTransport(connections, allowed), grants: newTransport(2, allowed)}
+	client := &Client{}
+	client.transport = newTransport(connections, allowed, &client.bodies)
+	client.grants = newTransport(2, allowed, &client.bodies)
+	return client
 }
 
-func newTransport(connections int, allowed func() bool) *http.Transport {
+// SetMaxBuffered bounds the responses that are being read, of all upstreams together, in bytes.
+// 0 is the default of 64 MiB. Beyond, the longest is given up.
+func (client *Client) SetMaxBuffered(limit int) { client.bodies.SetLimit(limit) }
+
+func newTransport(connections int, allowed func() bool, bodies *bulk.Bodies) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -50,7 +66,9 @@
 			if err != nil {
 				return nil, Error.New("dial: %w", err)
 			}
-			return newGuardedConn(conn, allowed), nil
+			guardedconn := newGuardedConn(conn, allowed)
+			guardedconn.held = bulk.NewBody(bodies, conn)
+			return guardedconn, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -126,12 +144,16 @@
 // Send sends a call and returns its result. NotRun is returned only if that is
 // certain: either there was no connection, or the upstream said so.
 func (client *Client) Send(ctx context.Context, call Call) Result {
-	var connection net.Conn
-	request, err := newRequest(traceConnections(ctx, func(conn net.Conn) { connection = conn }), call)
+	var connection *guardedConn
+	request, err := newRequest(traceConnections(ctx, func(conn *guardedConn) { connection = conn }), call)
 	if err != nil {
 		return NotRun{Cause: CauseUnreachable, Err: err}
 	}
 	response, err := client.transport.RoundTrip(request)
+	if connection != nil {
+		connection.endHead()
+		defer connection.held.Release()
+	}
 	if err != nil {
 		return failedResult(ctx, connection != nil, err)
 	}
@@ -140,7 +162,7 @@
 		_ = connection.Close() // the response to this attempt may still come
 		return Lost{Err: Error.New("the upstream answered another attempt")}
 	}
-	return readResponse(ctx, response, call.MaxAnswerSize)
+	return readResponse(ctx, response, call.MaxAnswerSize, connection.held)
 }
 
 // failedResult returns the result of a call that failed before the response's
@@ -172,7 +194,28 @@
 	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
 }
 
-func readResponse(ctx context.Context, response *http.Response, limit int) Result {
+// countedReader counts what is read of a body, beyond its first bytes, with the bodies of other
+// responses.
+type countedReader struct {
+	reader io.Reader
+	held   *bulk.Body
+	count  int
+}
+
+// Read implements io.Reader. It fails with bulk.ErrFull if the body is given up.
+func (countedreader *countedReader) Read(data []byte) (int, error) {
+	count, err := countedreader.reader.Read(data)
+	free := max(0, freeBytes-countedreader.count)
+	countedreader.count += count
+	if more := count - free; more > 0 {
+		if err := countedreader.held.Add(bodyCopies * more); err != nil {
+			return 0, err //nolint:wrapcheck // it says what failed
+		}
+	}
+	return count, err //nolint:wrapcheck // io.EOF must not be wrapped
+}
+
+func readResponse(ctx context.Context, response *http.Response, limit int, held *bulk.Body) Result {
 	if refused, ok := parseRefusal(response); ok {
 		return refused
 	}
@@ -181,8 +224,10 @@
 	if !framed || response.StatusCode == http.StatusSwitchingProtocols {
 		return BadResponse{Cause: CauseUnframed, Err: Error.New("the answer has neither length nor chunks")}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(&countedReader{reader: response.Body, held: held}, int64(limit)+1))
 	switch {
+	case err != nil && held.Release():
+		return BadResponse{Cause: CauseTruncated, Err: Error.New("read answer: %w", bulk.ErrFull)}
 	case err != nil && ctx.Err() != nil:
 		return TimedOut{Err: Error.New("read answer: %w", ctx.Err())}
 	case err != nil:
--- a/internal/dispatch/upstr/endless_test.go
+++ b/internal/dispatch/upstr/endless_test.go
@@ -306,3 +306,88 @@
 		client.Close()
 	}
 }
+
+// TestResponsesOfAllUpstreams guards against upstreams that all send at once, each within the
+// limits for one response, and use up the host's memory: the longest are given up, others are
+// served, and a call that may have run is not called "not run".
+func TestResponsesOfAllUpstreams(t *testing.T) {
+	// Two responses fit: each takes five to six and a half MiB while it is read.
+	const upstreams, fitting, limit = 8, 2, 14 << 20
+	long := strings.Repeat("x", 3<<20)
+	cases := []struct {
+		name, head, unit string
+		check            func(Result) bool
+	}{
+		{"body of a length", endlessStatus + "Content-Length: 4000000\r\n\r\n", long, badResponse(CauseTruncated)},
+		{"chunk", endlessChunked + "3D0900\r\n", long, badResponse(CauseTruncated)},
+		{"head of many lines", endlessStatus, strings.Repeat("a:\r\n", 12<<10), lost},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			client := NewClient(1, nil)
+			defer client.Close()
+			client.SetMaxBuffered(limit)
+			ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+			defer cancel()
+			results := make(chan Result, upstreams)
+			for range upstreams {
+				endless := startEndless(t, testcase.head, testcase.unit, wholeResponse, true)
+				go func() {
+					results <- client.Send(ctx, Call{Address: endless.address, Method: http.MethodPost, Target: "/", MaxAnswerSize: 8 << 20})
+				}()
+			}
+			for range upstreams - fitting {
+				is.True(testcase.check(<-results))
+			}
+			is.True(client.bodies.Total() <= limit)
+			healthy, _ := startScriptedServer(t, wholeResponse)
+			_, ok := client.Send(ctx, Call{Address: healthy, Method: http.MethodPost, Target: "/", MaxAnswerSize: smallBody}).(Response)
+			is.True(ok)
+			cancel()
+			for range fitting {
+				_, ok := (<-results).(TimedOut)
+				is.True(ok)
+			}
+			is.Equal(client.bodies.Total(), 0)
+		})
+	}
+}
+
+// TestEndlessResponseToUnreadRequest guards against a call that goes on after its time is over
+// because the upstream sends without end and reads nothing of a long request.
+func TestEndlessResponseToUnreadRequest(t *testing.T) {
+	for _, head := range []string{endlessStatus + "X: ", endlessChunked, endlessStatus + "Content-Length: 1000000000000\r\n\r\n"} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		cut := make(chan bool, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Read(make([]byte, 1)) // the request has begun
+			_, err = io.WriteString(conn, head)
+			block := strings.Repeat("1\r\nx\r\n", 10<<10)
+			for written := 0; err == nil && written < endlessLimit; written += len(block) {
+				_, err = io.WriteString(conn, block)
+			}
+			cut <- err != nil
+		}()
+		client := NewClient(1, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
+		call := Call{
+			Address: netip.MustParseAddrPort(listener.Addr().String()), Method: http.MethodPost, Target: "/",
+			Body: make([]byte, 8<<20), MaxAnswerSize: smallBody,
+		}
+		_, notRun := client.Send(ctx, call).(NotRun)
+		is.True(!notRun)
+		is.NoErr(ctx.Err())
+		is.True(<-cut)
+		cancel()
+		client.Close()
+		_ = listener.Close()
+	}
+}
--- a/internal/dispatch/upstr/guard.go
+++ b/internal/dispatch/upstr/guard.go
@@ -1,11 +1,14 @@
 package upstr
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http/httptrace"
 	"sync"
 
+	"damaskcrank.example/damaskcrank/internal/base/budget"
+	"damaskcrank.example/damaskcrank/internal/base/bulk"
 	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
 
@@ -37,6 +40,12 @@
 	closed  bool
 	// requested is set once the current request is being written.
 	requested bool
+	// held is what the response takes while it is read, nil if that is not bounded.
+	held *bulk.Body
+	// readsHead is set until the head of the response is read, headBytes and headLines are its
+	// length so far, and headCharged is what held counts for it.
+	readsHead                         bool
+	headBytes, headLines, headCharged int
 }
 
 func newGuardedConn(conn net.Conn, allowed func() bool) *guardedConn {
@@ -47,14 +56,16 @@
 
 // traceConnections returns a context in which each request waits until its connection
 // is known to hold no unread bytes. The function gotConn, if set, is called before.
-func traceConnections(ctx context.Context, gotConn func(net.Conn)) context.Context {
+func traceConnections(ctx context.Context, gotConn func(*guardedConn)) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if gotConn != nil {
-			gotConn(info.Conn)
+		guardedconn, ok := info.Conn.(*guardedConn)
+		if !ok {
+			return
 		}
-		if guardedconn, ok := info.Conn.(*guardedConn); ok {
-			guardedconn.awaitReader(ctx)
+		if gotConn != nil {
+			gotConn(guardedconn)
 		}
+		guardedconn.awaitReader(ctx)
 	}})
 }
 
@@ -64,6 +75,7 @@
 	guardedconn.mutex.Lock()
 	defer guardedconn.mutex.Unlock()
 	guardedconn.requested = false
+	guardedconn.readsHead, guardedconn.headBytes, guardedconn.headLines, guardedconn.headCharged = true, 0, 0, 0
 	if guardedconn.reading || guardedconn.closed {
 		return
 	}
@@ -85,13 +97,46 @@
 	guardedconn.changed.Broadcast()
 	guardedconn.mutex.Unlock()
 	count, err := guardedconn.Conn.Read(data)
+	unexpected, more := guardedconn.finishRead(data[:count])
+	switch {
+	case unexpected:
+		return 0, errUnexpectedBytes
+	case more > 0:
+		if err := guardedconn.held.Add(more); err != nil {
+			return 0, err //nolint:wrapcheck // it says what failed
+		}
+	}
+	return count, err //nolint:wrapcheck // net/http expects unwrapped connection errors
+}
+
+// finishRead records that data was read. It reports whether the data was not expected, and
+// returns what its head takes beyond what has been counted, 0 for a usual head.
+func (guardedconn *guardedConn) finishRead(data []byte) (unexpected bool, more int) {
 	guardedconn.mutex.Lock()
 	defer guardedconn.mutex.Unlock()
 	guardedconn.reading = false
-	if count > 0 && !guardedconn.requested {
-		return 0, errUnexpectedBytes
+	if len(data) > 0 && !guardedconn.requested {
+		return true, 0
 	}
-	return count, err //nolint:wrapcheck // net/http expects unwrapped connection errors
+	if !guardedconn.readsHead || guardedconn.held == nil {
+		return false, 0
+	}
+	guardedconn.headBytes += len(data)
+	guardedconn.headLines += bytes.Count(data, []byte("\n"))
+	cost := int(budget.HeadCost(guardedconn.headBytes, guardedconn.headLines))
+	if cost <= usualHeadCost {
+		return false, 0
+	}
+	more = cost - guardedconn.headCharged
+	guardedconn.headCharged = cost
+	return false, more
+}
+
+// endHead records that the head of the response is read.
+func (guardedconn *guardedConn) endHead() {
+	guardedconn.mutex.Lock()
+	defer guardedconn.mutex.Unlock()
+	guardedconn.readsHead = false
 }
 
 // Write writes the data, or fails with errWriteNotAllowed or errUnexpectedBytes.
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -54,6 +54,10 @@
 	maxHeadBytes = 32 << 10
 	// headParts is the divisor of the memory that yields the budget for heads and connections.
 	headParts = 4
+	// bufferedParts is the divisor of the memory that yields the bound of responses that are
+	// being read, which is maxBufferedBytes at most.
+	bufferedParts    = 4
+	maxBufferedBytes = 64 << 20
 	// maxUpstreamConnections bounds the connections to one upstream.
 	maxUpstreamConnections = 128
 	// logPrefix starts each line that this package logs.
@@ -201,6 +205,7 @@
 
 func (host *Host) startShards() error {
 	host.upstreams = upstr.NewClient(maxUpstreamConnections, host.lease.Valid)
+	host.upstreams.SetMaxBuffered(int(min(host.memory()/bufferedParts, maxBufferedBytes)))
 	env := shard.Env{
 		Host: host.options.Settings.Host.Name, Lease: host.lease, Catalog: host.follower.Catalog,
 		Control: host.client, Upstreams: host.upstreams, Clock: host.options.Clock, Log: host.options.Log,
@@ -223,13 +228,18 @@
 	return nil
 }
 
-func (host *Host) startServers() error {
-	settings := host.options.Settings
-	size, err := heap.Size(settings.Host.Memory)
+// memory returns the memory that the process may use, in bytes.
+func (host *Host) memory() int64 {
+	size, err := heap.Size(host.options.Settings.Host.Memory)
 	if err != nil {
 		host.options.Log.WithError(err).Warn(logPrefix + "the machine's memory is not known")
 	}
-	heads := budget.New(size/headParts, host.options.Clock)
+	return size
+}
+
+func (host *Host) startServers() error {
+	settings := host.options.Settings
+	heads := budget.New(host.memory()/headParts, host.options.Clock)
 	host.callers = newServer(host.front)
 	host.operators = newServer(host.admin.Handler())
 	callers, err := intake.Listen(context.Background(), settings.Caller.Address.String())
