Bound what comes in on control connections

What callers saw: nothing yet; found by looking for the report on an upstream that sends without end on our own paths.

Cause: control connections carry net/rpc with encoding/gob, which accepts messages of eight gigabytes and starts a task for each request. A control host that sends a reply without end took all memory of each host that called it, since arriving bytes also keep the connection alive; a host that sends a request without end, or many, that of a control host.

Ruled out: bytes before the peer has proved that it knows the secret (trust reads 64 bytes within a second).

Change: a connection follows the lengths of messages.

--- a/internal/control/group/client.go
+++ b/internal/control/group/client.go
@@ -55,7 +55,9 @@
 // use.
 type Client struct {
 	secret trust.Secret
-	mutex  sync.Mutex
+	// inbound bounds the replies that are being received.
+	inbound inboundMessages
+	mutex   sync.Mutex
 	// connections only grows. Each control host also has a connection in
 	// fetchConnections, because a short call that times out behind a long
 	// catalog transfer would close a shared connection.
@@ -86,11 +88,15 @@
 	return client
 }
 
+// SetMessageBytes bounds a reply, and what several take together that are being received, in
+// bytes. 0 means 64 MiB.
+func (client *Client) SetMessageBytes(limit int64) { client.inbound.setLimit(limit) }
+
 // addHost adds a control host. The mutex must be held, unless the client is not
 // shared yet.
 func (client *Client) addHost(address netip.AddrPort) {
-	client.connections = append(client.connections, newConnection(address, client.secret))
-	client.fetchConnections = append(client.fetchConnections, newConnection(address, client.secret))
+	client.connections = append(client.connections, newConnection(address, client.secret, &client.inbound))
+	client.fetchConnections = append(client.fetchConnections, newConnection(address, client.secret, &client.inbound))
 }
 
 // join asks each known control host to add self to the group until one reports
@@ -229,7 +235,7 @@
 			return reply, err
 		}
 	}
-	connection := newConnection(address, client.secret)
+	connection := newConnection(address, client.secret, &client.inbound)
 	defer connection.close()
 	reply := HelloReply{}
 	err := connection.call("Control.Hello", HelloArgs{}, &reply, helloTimeout)
--- a/internal/control/group/connection.go
+++ b/internal/control/group/connection.go
@@ -114,6 +114,7 @@
 type connection struct {
 	address netip.AddrPort
 	secret  trust.Secret
+	inbound *inboundMessages
 	mutex   sync.Mutex
 	client  *rpc.Client
 	tracker *tracker
@@ -125,8 +126,9 @@
 	silence silence
 }
 
-func newConnection(address netip.AddrPort, secret trust.Secret) *connection {
-	return &connection{address: address, secret: secret}
+// newConnection returns a connection whose replies are bounded by inbound.
+func newConnection(address netip.AddrPort, secret trust.Secret, inbound *inboundMessages) *connection {
+	return &connection{address: address, secret: secret, inbound: inbound}
 }
 
 // connect returns the open connection or dials a new one.
@@ -150,7 +152,7 @@
 		connection.retryAt = time.Now().Add(redialDelay)
 		return nil, nil, Error.New("authenticate with control host %s: %w", connection.address, err)
 	}
-	connection.tracker = &tracker{Conn: conn, openedAt: time.Now()}
+	connection.tracker = &tracker{Conn: connection.inbound.bound(conn), openedAt: time.Now()}
 	connection.client = rpc.NewClient(connection.tracker)
 	return connection.client, connection.tracker, nil
 }
--- a/internal/control/group/form.go
+++ b/internal/control/group/form.go
@@ -93,7 +93,7 @@
 			found = append(found, helloResult{address: address, reply: node.hello()})
 			continue
 		}
-		connection := newConnection(address, node.options.Secret)
+		connection := newConnection(address, node.options.Secret, &node.inbound)
 		reply := HelloReply{}
 		err := connection.call("Control.Hello", HelloArgs{}, &reply, helloTimeout)
 		connection.close()
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -84,6 +84,9 @@
 	// DisableGroupCommit disables group commit: each proposal is synced to disk
 	// separately. It serves as the baseline in benchmarks.
 	DisableGroupCommit bool
+	// MessageBytes bounds a message from another host, and what several take together that are
+	// being received; 0 means 64 MiB. The state and the largest change must fit.
+	MessageBytes int64
 	// Timing overrides the default intervals. Zero fields keep their defaults.
 	Timing Timing
 	// TargetVoters is the number of voters that the leader maintains automatically:
@@ -171,7 +174,9 @@
 	logBytes int
 	changed  chan struct{}
 	server   *server
-	failed   error
+	// inbound bounds the messages from other hosts that are being received.
+	inbound inboundMessages
+	failed  error
 }
 
 // ProgressSource reports how far the catalogs of live hosts have advanced.
@@ -225,6 +230,7 @@
 		senders:       map[raft.MemberID]*sender{},
 		peerAddresses: map[raft.MemberID]netip.AddrPort{},
 	}
+	node.inbound.setLimit(options.MessageBytes)
 	if restored.TornBytes > 0 {
 		options.Log.Warnf(logPrefix+"removed %d bytes of an incomplete write from the log", restored.TornBytes)
 	}
--- a/internal/control/group/sender.go
+++ b/internal/control/group/sender.go
@@ -32,7 +32,7 @@
 		queue:   make(chan raft.Envelope, senderQueueSize),
 		stop:    make(chan struct{}),
 	}
-	go sender.run(newConnection(address, node.options.Secret), node.options.Address)
+	go sender.run(newConnection(address, node.options.Secret, &node.inbound), node.options.Address)
 	return sender
 }
 
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -66,7 +66,7 @@
 		server.node.options.Log.WithError(err).Warn(logPrefix + "rejected a control connection")
 		return
 	}
-	server.rpc.ServeConn(conn)
+	server.rpc.ServeCodec(newServerCodec(server.node.inbound.bound(conn)))
 }
 
 func (server *server) track(conn net.Conn) bool {
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -90,6 +90,7 @@
 		Timing:       group.Timing{Election: electionTimeout, Heartbeat: heartbeatInterval, Tick: tickInterval},
 		TargetVoters: 2*settings.Peer.ToleratedFailures + 1,
 		JoinOnly:     !settings.Host.FirstStart,
+		MessageBytes: options.memory / messageParts,
 	})
 	if err != nil {
 		return nil, Error.New("start control: %w", err)
@@ -99,6 +100,7 @@
 		options: options, node: node, client: group.NewClient(seeds, secret),
 		steer: steer.New(node, options.Clock, options.Log), cancel: cancel,
 	}
+	control.client.SetMessageBytes(options.memory / messageParts)
 	control.steer.ByteCost = time.Duration(settings.DataCentres.ByteCost)
 	control.steer.UseRollouts(rolloutOptions(options))
 	control.lender = steer.NewLender(settings.Peer.Address.String(), control.steer, control.client, options.Clock, options.Log)
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -154,6 +154,7 @@
 		scheduler:        admit.NewScheduler(settings.Host.DataCentre, options.Clock, rand.Uint64()), //nolint:gosec // spreads load
 		primaryScheduler: admit.NewExclusiveScheduler(options.Clock, rand.Uint64()),                  //nolint:gosec // spreads load
 	}
+	entry.client.SetMessageBytes(options.memory / messageParts)
 	entry.link = pacer.New(narrowLink(settings.Host.Link), options.Clock, options.Log, options.Stats)
 	entry.pool = &pool.Pool{
 		Matches: matches, Clock: options.Clock, OnUnexpectedBytes: entry.reportUnexpectedBytes,
--- a/internal/fleet/direct/http.go
+++ b/internal/fleet/direct/http.go
@@ -26,6 +26,9 @@
 	heldParts = 2
 	// unreadParts is the divisor of the memory that yields the bound of unread answers.
 	unreadParts = 6
+	// messageParts is the divisor of the memory that yields the bound of messages between hosts and
+	// control hosts that are being received.
+	messageParts = 4
 	// bufferedParts is the divisor of the memory that yields the bound of responses that are
 	// being read, which is maxBufferedBytes at most.
 	bufferedParts    = 4
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -54,6 +54,9 @@
 	maxHeadBytes = 32 << 10
 	// headParts is the divisor of the memory that yields the budget for heads and connections.
 	headParts = 4
+	// messageParts is the divisor of the memory that yields the bound of messages between hosts and
+	// control hosts that are being received.
+	messageParts = 4
 	// bufferedParts is the divisor of the memory that yields the bound of responses that are
 	// being read, which is maxBufferedBytes at most.
 	bufferedParts    = 4
@@ -138,13 +141,14 @@
 func (host *Host) startControl() error {
 	settings := host.options.Settings
 	host.client = group.NewClient(settings.Control.Hosts, host.options.Secret)
+	host.client.SetMessageBytes(host.memory() / messageParts)
 	if !settings.Control.Enabled {
 		return nil
 	}
 	node, err := group.Open(group.Options{
 		Name: settings.Host.Name, Address: settings.Control.Address, DataFolder: settings.Host.DataFolder,
 		Secret: host.options.Secret, InitialMembers: settings.Control.Hosts, Clock: host.options.Clock,
-		Log: host.options.Log, SnapshotEvery: settings.Control.SnapshotEvery,
+		Log: host.options.Log, SnapshotEvery: settings.Control.SnapshotEvery, MessageBytes: host.memory() / messageParts,
 	})
 	if err != nil {
 		return Error.New("start control: %w", err)
