Refuse a change that alone is longer than a configuration before it is proposed

What callers saw: nothing yet. Since changes are judged where they are applied, a change of 6 MB was proposed, and each attempt that timed out was logged again.

Cause: nothing is judged before the proposal; but this needs no state to be judged on.

Change: the items of a change that may have an effect are measured alone.

--- a/internal/control/items/items.go
+++ b/internal/control/items/items.go
@@ -238,6 +238,15 @@
 // size returns about how many bytes an item takes when it is encoded.
 func (item Item) size() int { return itemBytes + len(item.Name) + len(item.Source) }
 
+// ExceedsMaxBytes reports whether the items alone are longer than a configuration may be.
+func ExceedsMaxBytes(changes []Item) bool {
+	size := 0
+	for _, item := range changes {
+		size += item.size()
+	}
+	return size > MaxBytes
+}
+
 // size returns about how many bytes the set takes when it is encoded.
 func (set Set) size() int {
 	size := 0
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -243,6 +243,8 @@
 	switch {
 	case err != nil:
 		result.Outcome, result.Detail = state.OutcomeInvalid, err.Error()
+	case items.ExceedsMaxBytes(trimmed): // whatever is in force by then
+		result.Outcome = state.OutcomeTooLarge
 	case len(trimmed) > 0:
 		if result, err = control.order(ctx, 0, state.PutItems{Items: trimmed}); err != nil {
 			return result, err
