--- a/internal/base/bulk/bulk.go
+++ b/internal/base/bulk/bulk.go
@@ -43,11 +43,12 @@
 	return bodies.total
 }
 
-// giveUpLongest gives up the longest body and closes its source.
+// giveUpLongest gives up the longest body that is not whole, and closes its source. The caller's
+// is never whole.
 func (bodies *Bodies) giveUpLongest() {
 	var longest *Body
 	for body, count := range bodies.held {
-		if longest == nil || count > bodies.held[longest] {
+		if !body.whole && (longest == nil || count > bodies.held[longest]) {
 			longest = body
 		}
 	}
@@ -61,8 +62,8 @@
 type Body struct {
 	bodies *Bodies
 	source io.Closer
-	// givenUp is guarded by the mutex of bodies.
-	givenUp bool
+	// givenUp and whole are guarded by the mutex of bodies.
+	givenUp, whole bool
 }
 
 // NewBody returns the account of a source, which is closed if its body is given up. The close
@@ -80,9 +81,13 @@
 	if body.givenUp {
 		return ErrFull
 	}
+	if count == 0 {
+		return nil
+	}
 	if bodies.held == nil {
 		bodies.held = map[*Body]int{}
 	}
+	body.whole = false
 	bodies.held[body] += count
 	bodies.total += count
 	for bodies.total > cmp.Or(bodies.limit, defaultLimit) && len(bodies.held) > 1 {
@@ -94,6 +99,14 @@
 	return nil
 }
 
+// Keep records that the body is whole: it counts until it is released, but is not given up for
+// others any more.
+func (body *Body) Keep() {
+	body.bodies.mutex.Lock()
+	defer body.bodies.mutex.Unlock()
+	body.whole = true
+}
+
 // Release ends the accounting of what the source has sent so far, and reports whether it was
 // given up.
 func (body *Body) Release() bool {
--- a/internal/fleet/direct/control_test.go
+++ b/internal/fleet/direct/control_test.go
@@ -181,7 +181,7 @@
 		is.NoErr(err)
 	}
 	is.True(errors.Is(errs[fitting], ErrBusy))
-	is.Equal(limited.total.Load(), int64(0))
+	is.Equal(limited.held.Total(), 0)
 	long := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", maxCallBytes+1)))
 	nested.ServeHTTP(httptest.NewRecorder(), long)
 	var maxBytesErr *http.MaxBytesError
