Bound what links hold of replies that are not whole, of all hosts together

What callers saw: nothing yet; found by looking for the report on an upstream that sends without end on links between our own hosts.

Cause: a host that accepts links bounds what all of them hold (33 MiB); one that opens them bounded each frame (16 MiB) and not all of them.

Ruled out: time. A link whose peer answers no pings is closed after about two seconds.

Change: the same bound on links that a host opens.

--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -42,6 +42,8 @@
 	sockets    map[netip.AddrPort]gnet.Conn
 	// dials counts the dials in progress to each host.
 	dials map[netip.AddrPort]int
+	// held is what all links hold of frames that are not whole, as of the last look at each.
+	held atomic.Int64
 	// done is closed when the client is closed.
 	done     chan struct{}
 	doneOnce sync.Once
@@ -57,8 +59,10 @@
 	ready chan struct{}
 	// closed is closed when the link has ended.
 	closed chan struct{}
-	// isReady is set when the handshake is complete. Only the event loop uses it.
+	// isReady is set when the handshake is complete, and held is what the link was last seen to
+	// hold. Only the event loop uses them.
 	isReady    bool
+	held       int64
 	lastNumber atomic.Uint64
 	// heard is set when bytes were received since the last check of the link.
 	heard    atomic.Bool
@@ -320,6 +324,8 @@
 		}
 		client.mutex.Unlock()
 	case *outbound:
+		client.held.Add(-owner.held)
+		owner.held = 0
 		client.removeLink(owner)
 	}
 	return gnet.None
@@ -360,6 +366,12 @@
 	if err := readFrames(conn, limit, func(frame frame) error { return client.handleFrame(conn, link, frame) }); err != nil {
 		return gnet.Close
 	}
+	holds := int64(conn.InboundBuffered())
+	total := client.held.Add(holds - link.held)
+	link.held = holds
+	if holds > freeBytes && total > maxHeldBytes {
+		return gnet.Close
+	}
 	return gnet.None
 }
 
--- a/internal/peer/links/held_test.go
+++ b/internal/peer/links/held_test.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -117,3 +119,74 @@
 	_, err = conn.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
+
+// readBytes is more than a link takes in before it is looked at.
+const readBytes = 1 << 20
+
+// startUnfinished starts a host that answers each request with the longest frame, without its
+// end, and then waits. It returns its address.
+func startUnfinished(t *testing.T, closed chan<- bool) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	longest, err := Payload{Kind: "echo", Head: []byte{0xf6}, Body: make([]byte, MaxFrame-1<<10)}.frame(frameReply, 1)
+	is.New(t).NoErr(err)
+	unfinished := longest.encode()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		nonce := make([]byte, trust.NonceSize)
+		_, _ = conn.Write(frame{kind: frameChallenge, body: nonce}.encode())
+		answer := make([]byte, lengthPrefixSize+headerSize+trust.NonceSize+trust.ProofSize)
+		if _, err := io.ReadFull(conn, answer); err != nil {
+			return
+		}
+		peerNonce := answer[lengthPrefixSize+headerSize:][:trust.NonceSize]
+		proof := trust.Secret("fleet").Proof(trust.PurposeLinkServer, peerNonce, nonce)
+		_, _ = conn.Write(frame{kind: frameServerProof, body: proof}.encode())
+		_, _ = conn.Read(make([]byte, 1))
+		if _, err = conn.Write(unfinished[:len(unfinished)-1]); err == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+		closed <- true
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// TestUnfinishedRepliesAreBounded guards against hosts that each send a reply without its end,
+// and use up the memory of the host that called them. Links to others work meanwhile.
+func TestUnfinishedRepliesAreBounded(t *testing.T) {
+	const hosts, fitting = 6, 2
+	is := is.New(t)
+	client, err := NewClient(trust.Secret("fleet"), nil)
+	is.NoErr(err)
+	closed := make(chan bool, hosts)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for range hosts {
+		address := startUnfinished(t, closed)
+		go func() { _, _ = client.Call(ctx, address, Payload{Kind: "echo", Head: []byte{0xf6}}) }()
+	}
+	most := int64(0)
+	for ended := 0; ended < hosts-fitting; {
+		most = max(most, client.held.Load())
+		select {
+		case <-closed:
+			ended++
+		case <-ctx.Done():
+			t.Fatal("the links stay open")
+		default:
+			runtime.Gosched()
+		}
+	}
+	// Until its end is handled, each link that is closed counts with what it held last.
+	is.True(most <= maxHeldBytes+hosts*readBytes)
+	_, address := startServer(t)
+	_, err = client.Call(ctx, netip.MustParseAddrPort(address), Payload{Kind: "echo", Head: []byte{0xf6}})
+	is.NoErr(err)
+	is.NoErr(client.Close())
+}
