Bound the answer that a command of operators reads

What callers saw: nothing yet; found by looking for the report on an upstream that sends without end.

Cause: a command kept all that a host sent for up to 40 s.

Change: an answer has 64 MiB at most.

--- a/internal/cmds/verbs/remote.go
+++ b/internal/cmds/verbs/remote.go
@@ -19,6 +19,8 @@
 
 const (
 	remoteTimeout = 40 * time.Second
+	// maxReplyBytes bounds the answer of a host. A history of 1000 changes of 10 KB fits.
+	maxReplyBytes = 64 << 20
 	// tokenName is the file that holds the operator's token of the embedded default.
 	tokenName = "operatorToken"
 )
@@ -58,9 +60,12 @@
 		return Error.New("send request to host %s: %w", remote.Host, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	switch {
+	case err != nil:
 		return Error.New("read response: %w", err)
+	case len(data) > maxReplyBytes:
+		return Error.New("the response of host %s is longer than %d bytes", remote.Host, maxReplyBytes)
 	}
 	if response.StatusCode != http.StatusOK {
 		return responseError(response.StatusCode, data)
