--- a/internal/control/group/inbound.go
+++ b/internal/control/group/inbound.go
@@ -48,7 +48,7 @@
 
 // bound returns a connection whose reads fail once a message is too long, or is given up since
 // all of them are.
-func (inboundmessages *inboundMessages) bound(conn net.Conn) net.Conn {
+func (inboundmessages *inboundMessages) bound(conn net.Conn) *boundedConn {
 	inboundmessages.mutex.Lock()
 	defer inboundmessages.mutex.Unlock()
 	limit := inboundmessages.limit
@@ -73,12 +73,15 @@
 	// far.
 	lengthLeft int
 	length     uint64
+	// refused is why the connection was closed, nil if it was not. Only the reader uses it.
+	refused error
 }
 
 // Read implements net.Conn.
 func (boundedconn *boundedConn) Read(data []byte) (int, error) {
 	count, err := boundedconn.Conn.Read(data)
 	if followErr := boundedconn.follow(data[:count]); followErr != nil {
+		boundedconn.refused = followErr
 		_ = boundedconn.Conn.Close()
 		return 0, followErr
 	}
--- a/internal/control/group/server.go
+++ b/internal/control/group/server.go
@@ -66,7 +66,12 @@
 		server.node.options.Log.WithError(err).Warn(logPrefix + "rejected a control connection")
 		return
 	}
-	server.rpc.ServeCodec(newServerCodec(server.node.inbound.bound(conn)))
+	bounded := server.node.inbound.bound(conn)
+	server.rpc.ServeCodec(newServerCodec(bounded))
+	if bounded.refused != nil {
+		server.node.options.Log.WithError(bounded.refused).WithField("from", conn.RemoteAddr().String()).
+			WithField("bytes", bounded.length).Warn(logPrefix + "closed a control connection")
+	}
 }
 
 func (server *server) track(conn net.Conn) bool {
