Answer requests that have come when a planned stop closes connections

Callers of a host that stops had their connection closed without an answer to a request that the host had been sent, or had read.

Cause: the stop used Server.Shutdown of net/http. It closes connections whose request is not parsed yet, as their state is still idle, and once it has begun the server drops each request that it reads. On a host with an eighth of a core, tenths of a second lie between the socket and that state. Ruled out: the end of the grace time (5.6 s after SIGTERM; these closed 2.3 to 2.5 s after it).

Change: the listener ends itself. The task that reads a connection looks at the socket and closes the connection only if nothing of a request has come; all others are answered, and their answers close the connection, also those of requests that came before the stop. Entry hosts, our own path and control hosts use it. The end of the idle time looks at the socket, too.

--- a/internal/base/intake/conn.go
+++ b/internal/base/intake/conn.go
@@ -72,12 +72,16 @@
 	headDeadline time.Time
 	closed       atomic.Bool
 
+	acceptedAt time.Time
 	// writeDeadlineSet is when the deadline of writes was last set. Only Write uses it.
 	writeDeadlineSet time.Time
 
-	// mutex guards the deadlines of reads, that of the server and the conn's own, and writesEnd,
-	// which is set once the server has set a deadline of writes.
+	// mutex guards the deadlines of reads, that of the server and the conn's own, waiting, which
+	// is set while nothing of the next request has come, carried, which is set once a request was
+	// answered, and writesEnd, which is set once the server has set a deadline of writes.
 	mutex          sync.Mutex
+	waiting        bool
+	carried        bool
 	serverDeadline time.Time
 	ownDeadline    time.Time
 	writesEnd      bool
@@ -203,10 +207,7 @@
 // readUsual reads into the server's buffer. A head that comes in one piece is passed on as it
 // is; otherwise what has come is copied into the buffer.
 func (conn *conn) readUsual(data []byte, limits Limits) (int, error) {
-	if err := conn.setOwnDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
-		return 0, err
-	}
-	count, err := conn.Conn.Read(data)
+	count, err := conn.readBeginning(data, limits)
 	if count == 0 {
 		return 0, conn.readFailed(err)
 	}
@@ -231,6 +232,18 @@
 	return count, nil
 }
 
+// readBeginning reads from the socket the beginning of a head, of which the server may have
+// read a byte already.
+func (conn *conn) readBeginning(data []byte, limits Limits) (int, error) {
+	if conn.head.length == 0 {
+		return conn.readFirst(data, limits.IdleTimeout)
+	}
+	if err := conn.setOwnDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
+		return 0, err
+	}
+	return conn.Conn.Read(data) //nolint:wrapcheck // net/http expects unwrapped errors
+}
+
 // begin sets the time by which the head must be whole, if it has not begun before.
 func (conn *conn) begin(limits Limits) {
 	if conn.headDeadline.IsZero() {
@@ -355,6 +368,9 @@
 	}
 	conn.stage = stageHead
 	conn.account.Served()
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.carried = true
 }
 
 // giveWay closes the connection for others that need its memory.
@@ -400,7 +416,7 @@
 	if deadline.IsZero() && conn.ownDeadline.IsZero() {
 		return nil
 	}
-	conn.ownDeadline = deadline
+	conn.ownDeadline, conn.waiting = deadline, false
 	return conn.applyDeadline()
 }
 
@@ -409,6 +425,9 @@
 	if deadline.IsZero() || !conn.ownDeadline.IsZero() && conn.ownDeadline.Before(deadline) {
 		deadline = conn.ownDeadline
 	}
+	if conn.waiting && conn.listener.drain.begun.Load() && conn.waitEnd().Before(deadline) {
+		deadline = conn.waitEnd()
+	}
 	return conn.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // net/http expects unwrapped errors
 }
 
@@ -446,6 +465,7 @@
 func (conn *conn) Close() error {
 	conn.closed.Store(true)
 	conn.account.Close()
+	defer conn.listener.drain.remove(conn)
 	return conn.Conn.Close() //nolint:wrapcheck // net/http expects unwrapped errors
 }
 
--- a/internal/base/intake/intake.go
+++ b/internal/base/intake/intake.go
@@ -110,11 +110,14 @@
 
 	options Options
 	reports reports
+	drain   *drain
 }
 
 // Wrap returns a listener whose connections are accounted for.
 func Wrap(listener net.Listener, options Options) *Listener {
-	return &Listener{Listener: listener, options: options, reports: reports{next: map[Reason]time.Time{}, left: map[Reason]int{}}}
+	return &Listener{
+		Listener: listener, options: options, reports: reports{next: map[Reason]time.Time{}, left: map[Reason]int{}}, drain: newDrain(),
+	}
 }
 
 // Listen listens on an address for TCP. The kernel's buffers of the connections are bounded.
@@ -147,8 +150,9 @@
 }
 
 // Configure has a server leave the limits of heads to the listener, and tell it when an answer
-// is written.
+// is written. The server must have its handler.
 func (listener *Listener) Configure(server *http.Server) {
+	server.Handler = listener.closeAnswered(server.Handler)
 	server.MaxHeaderBytes = maxServerHeadBytes
 	server.ReadHeaderTimeout = serverHeadTimeout
 	server.IdleTimeout = serverHeadTimeout
@@ -159,14 +163,19 @@
 	}
 }
 
-// Accept returns the next connection that fits into the budget.
+// Accept returns the next connection that fits into the budget, or http.ErrServerClosed once
+// the listener drains.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := listener.Listener.Accept()
+		if err != nil && listener.drain.begun.Load() {
+			listener.drain.endAccept()
+			return nil, http.ErrServerClosed
+		}
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http expects unwrapped errors
 		}
-		conn := &conn{Conn: accepted, listener: listener}
+		conn := &conn{Conn: accepted, listener: listener, acceptedAt: time.Now()}
 		account, ok := listener.options.Budget.Open(conn.giveWay)
 		if !ok {
 			listener.report(ReasonConnectionsFull)
@@ -174,6 +183,7 @@
 			continue
 		}
 		conn.account = account
+		listener.drain.add(conn)
 		return conn, nil
 	}
 }
--- a/internal/base/intake/intake_test.go
+++ b/internal/base/intake/intake_test.go
@@ -37,11 +37,16 @@
 }
 
 func serveHandler(t *testing.T, total int64, limits func() Limits, handler http.Handler) *Listener {
+	t.Helper()
+	return serveWithClock(t, total, limits, clockwork.NewRealClock(), handler)
+}
+
+func serveWithClock(t *testing.T, total int64, limits func() Limits, clock clockwork.Clock, handler http.Handler) *Listener {
 	t.Helper()
 	accepted, err := Listen(t.Context(), "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	listener := Wrap(accepted, Options{
-		Name: "test", Budget: budget.New(total, clockwork.NewRealClock()), Limits: limits, Clock: clockwork.NewRealClock(),
+		Name: "test", Budget: budget.New(total, clock), Limits: limits, Clock: clock,
 		Log: &log.Logger{Handler: discard.New()}, Stats: &stats.Set{},
 	})
 	server := &http.Server{Handler: handler}
--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -28,7 +28,7 @@
 		header.Set("Retry-After", formatSeconds(refused.retryAfter))
 	}
 	header.Set("Content-Length", "0")
-	exchange.writer.WriteHeader(refused.status)
+	exchange.writeStatus(refused.status)
 	relay.Stats.Refused(refused.reason, "notRun")
 	fields := log.Fields{
 		"status": refused.status, "reason": refused.reason, "retryAfter": refused.retryAfter.String(),
@@ -37,6 +37,15 @@
 	exchange.logEvent("request refused", nil, fields)
 }
 
+// writeStatus begins the answer. It says that the connection is closed if callers should use
+// another host by now, which they may not have when the request came.
+func (exchange *exchange) writeStatus(status int) {
+	if exchange.relay.Draining() {
+		exchange.writer.Header().Set("Connection", "close")
+	}
+	exchange.writer.WriteHeader(status)
+}
+
 // formatSeconds formats a duration in seconds, rounded up to the next
 // millisecond.
 func formatSeconds(duration time.Duration) string {
@@ -54,7 +63,7 @@
 		reason = string(admit.ReasonCallerLeft)
 	}
 	exchange.writer.Header().Set("Content-Length", "0")
-	exchange.writer.WriteHeader(status)
+	exchange.writeStatus(status)
 	exchange.relay.Stats.Refused(reason, "unknown")
 	exchange.logEvent("request failed", nil, log.Fields{"status": status, "reason": reason, "mayHaveRun": exchange.mayHaveRun})
 }
@@ -71,7 +80,7 @@
 		header["Content-Type"] = nil // disables content sniffing in net/http
 	}
 	header.Set("Content-Length", strconv.Itoa(response.Body.Len()))
-	exchange.writer.WriteHeader(response.Status)
+	exchange.writeStatus(response.Status)
 	if response.Status < http.StatusMultipleChoices {
 		exchange.flow.Observe(response.Body.Len())
 	}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -235,9 +235,6 @@
 	exchange := &exchange{relay: relay, writer: writer, request: request, arrived: relay.Clock.Now(), config: relay.Config()}
 	exchange.caller = relay.Protocol.ParseRequest(request.Header)
 	exchange.awaitConfig()
-	if relay.Draining() {
-		writer.Header().Set("Connection", "close")
-	}
 	if refusal := exchange.admit(); refusal != nil {
 		exchange.refuse(*refusal)
 		return
--- a/internal/entry/relay/stop_test.go
+++ b/internal/entry/relay/stop_test.go
@@ -57,6 +57,32 @@
 	}
 }
 
+// TestAnswersOfStoppingHostCloseTheConnection guards against callers that keep their connection
+// to a host which began to stop while their request was in progress.
+func TestAnswersOfStoppingHostCloseTheConnection(t *testing.T) {
+	for _, testcase := range []struct {
+		name, path string
+		status     int
+	}{
+		{"answered", "/book/x", http.StatusOK},
+		{"refused", "/other/x", http.StatusNotFound},
+	} {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			upstreams := startUpstreams(t, answered)
+			relay := newRelay(t, upstreams, 0)
+			relay.Draining = func() bool { return testcase.path == "/other/x" || upstreams.requests.Load() > 0 }
+			request := httptest.NewRequest(http.MethodPost, "http://host"+testcase.path, nil)
+			request.Header.Set("Id", "r")
+			request.Header.Set("Key", "k")
+			recorder := httptest.NewRecorder()
+			relay.ServeHTTP(recorder, request)
+			is.Equal(recorder.Code, testcase.status)
+			is.Equal(recorder.Header().Get("Connection"), "close")
+		})
+	}
+}
+
 // silent is an upstream that never answers. It records the requests that it gets.
 type silent struct {
 	listener net.Listener
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -71,8 +71,8 @@
 	client  *group.Client
 	steer   *steer.Coordinator
 	lender  *steer.Lender
-	server  *http.Server
-	metrics *http.Server
+	server  *server
+	metrics *server
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 }
@@ -360,7 +360,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	err := control.server.Shutdown(ctx)
+	err := control.server.Drain(ctx)
 	control.Kill()
 	if err != nil {
 		return Error.New("stop control: %w", err)
@@ -372,7 +372,7 @@
 // running requests.
 func (control *Control) Kill() {
 	control.cancel()
-	for _, server := range []*http.Server{control.server, control.metrics} {
+	for _, server := range []*server{control.server, control.metrics} {
 		if server != nil {
 			_ = server.Close()
 		}
--- a/internal/fleet/direct/entry.go
+++ b/internal/fleet/direct/entry.go
@@ -96,9 +96,9 @@
 	// demand is nil unless the leader decides which requests leave the data centre.
 	demand   *demandTable
 	relay    *relay.Relay
-	callers  *http.Server
-	health   *http.Server
-	metrics  *http.Server
+	callers  *server
+	health   *server
+	metrics  *server
 	draining atomic.Bool
 	// stopsAt is when the host will have stopped, nil while it does not stop.
 	stopsAt atomic.Pointer[time.Time]
@@ -582,7 +582,7 @@
 func (entry *Entry) Kill() {
 	entry.cancel()
 	entry.end()
-	for _, server := range []*http.Server{entry.callers, entry.health, entry.metrics} {
+	for _, server := range []*server{entry.callers, entry.health, entry.metrics} {
 		if server != nil {
 			_ = server.Close()
 		}
--- a/internal/fleet/direct/http.go
+++ b/internal/fleet/direct/http.go
@@ -44,9 +44,25 @@
 	return options
 }
 
+// server is an HTTP server and the listener that it drains.
+type server struct {
+	*http.Server
+
+	listener *intake.Listener
+}
+
+// Drain ends the server without cutting off requests. It returns an error if the context ends
+// before the last one is answered.
+func (server *server) Drain(ctx context.Context) error {
+	if err := server.listener.Drain(ctx); err != nil {
+		return Error.New("end the HTTP server: %w", err)
+	}
+	return nil
+}
+
 // serveHTTP listens on the address and serves the handler until the server is closed. The
 // limits may be nil.
-func serveHTTP(name, address string, handler http.Handler, options Options, limits func() intake.Limits) (*http.Server, error) {
+func serveHTTP(name, address string, handler http.Handler, options Options, limits func() intake.Limits) (*server, error) {
 	options = options.withBudget()
 	accepted, err := intake.Listen(context.Background(), address)
 	if err != nil {
@@ -58,8 +74,9 @@
 	listener := intake.Wrap(accepted, intake.Options{
 		Name: name, Budget: options.heads, Limits: limits, Clock: options.Clock, Log: options.Log, Stats: options.Stats,
 	})
-	server := &http.Server{Handler: handler, ConnContext: withConn, ErrorLog: stdlog.New(io.Discard, "", 0)} //nolint:gosec // Configure sets the time limit of heads
-	listener.Configure(server)
+	//nolint:gosec // Configure sets the time limit of heads
+	server := &server{Server: &http.Server{Handler: handler, ConnContext: withConn, ErrorLog: stdlog.New(io.Discard, "", 0)}, listener: listener}
+	listener.Configure(server.Server)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			options.Log.WithError(err).Errorf(logPrefix+"the HTTP server on %s failed", address)
@@ -86,7 +103,7 @@
 }
 
 // serveMetrics serves the host's metrics if the settings give an address for them.
-func serveMetrics(options Options) (*http.Server, error) {
+func serveMetrics(options Options) (*server, error) {
 	if options.Settings.Listen.Metrics == "" {
 		return nil, nil //nolint:nilnil // metrics are not served
 	}
--- a/internal/fleet/direct/stop.go
+++ b/internal/fleet/direct/stop.go
@@ -38,13 +38,13 @@
 	case <-entry.options.Clock.After(min(healthCheckDelay, grace/2)):
 	case <-drained.Done():
 	}
-	err := entry.callers.Shutdown(drained)
+	err := entry.callers.Drain(drained)
 	if err != nil {
 		entry.options.Log.WithField("running", entry.relay.Running()).Warn(logPrefix + "the grace time is over, answering the requests that still run")
 		entry.end()
 		answered, cancelAnswered := context.WithTimeout(context.WithoutCancel(ctx), margin/answerParts)
 		defer cancelAnswered()
-		err = entry.callers.Shutdown(answered)
+		err = entry.callers.Drain(answered)
 	}
 	if entry.relay.Running() == 0 {
 		err = nil // only connections without a request are left
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -95,11 +95,13 @@
 	front     *front.Front
 	admin     *admin.Admin
 	callers   *http.Server
-	operators *http.Server
-	draining  atomic.Bool
-	stop      chan struct{}
-	tasks     sync.WaitGroup
-	killOnce  sync.Once
+	// callersListener is drained in place of a shutdown of callers.
+	callersListener *intake.Listener
+	operators       *http.Server
+	draining        atomic.Bool
+	stop            chan struct{}
+	tasks           sync.WaitGroup
+	killOnce        sync.Once
 }
 
 // Start starts all parts of a host. The host serves callers once the control
@@ -263,7 +265,7 @@
 	if err != nil {
 		return Error.New("listen for operators: %w", err)
 	}
-	host.serveHTTP("callers", host.callers, callers, heads)
+	host.callersListener = host.serveHTTP("callers", host.callers, callers, heads)
 	host.serveHTTP("operators", host.operators, operators, heads)
 	return nil
 }
@@ -279,7 +281,7 @@
 	return intake.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, IdleTimeout: idleTimeout}
 }
 
-func (host *Host) serveHTTP(name string, server *http.Server, accepted net.Listener, heads *budget.Budget) {
+func (host *Host) serveHTTP(name string, server *http.Server, accepted net.Listener, heads *budget.Budget) *intake.Listener {
 	listener := intake.Wrap(accepted, intake.Options{
 		Name: name, Budget: heads, Limits: headLimits, Clock: host.options.Clock, Log: host.options.Log, Stats: host.stats,
 	})
@@ -289,6 +291,7 @@
 			host.options.Log.WithError(err).Errorf(logPrefix+"the HTTP server on %s failed", listener.Addr())
 		}
 	})
+	return listener
 }
 
 // Catalog returns the host's catalog.
--- a/internal/fleet/host/stop.go
+++ b/internal/fleet/host/stop.go
@@ -26,7 +26,7 @@
 	case <-unreadyElapsed:
 	case <-ctx.Done():
 	}
-	err := host.callers.Shutdown(ctx)
+	err := host.callersListener.Drain(ctx)
 	if err != nil {
 		err = Error.New("close callers' listener: %w", err)
 	}
