Let forwarded requests outlast the silence of their link

A caller whose request another host of ours was sending got 502 after one to two seconds, while the upstream worked on it or was about to begin.

Cause: a link on which nothing is received for 1.5 s was closed with all its calls, and replies on links of 3.7 Mbit/s between hosts with an eighth of a core can take longer.

Change: forwarded requests are patient. While the other host's kernel acknowledges what is sent, a silent link is replaced for new requests, and ends with its last patient one. Other calls fail as before, and so do patient ones to a host that is gone.

TestPatientCallOutlastsSilence fails with the link closed as before (a trial: "the link was lost").

--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -34,7 +34,8 @@
 	if err != nil {
 		return nil, errors.Join(links.ErrNotSent, Error.New("encode the request: %w", err))
 	}
-	payload, err := sender.Caller.Call(ctx, other.Peer, links.Payload{Kind: kindForward, Head: head, Body: slices.Concat(prepared.Body...)})
+	// The upstream may work on the request for as long as its time lasts.
+	payload, err := sender.Caller.Call(links.WithPatience(ctx), other.Peer, links.Payload{Kind: kindForward, Head: head, Body: slices.Concat(prepared.Body...)})
 	if err != nil {
 		return nil, Error.New("forward to %s: %w", other.Name, err)
 	}
--- a/internal/dispatch/pool/begin.go
+++ b/internal/dispatch/pool/begin.go
@@ -9,7 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
+
+	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
 
 const (
@@ -108,12 +109,12 @@
 	}
 	count, countErr := 0, error(nil)
 	if err := rawConn.Control(func(descriptor uintptr) {
-		count, countErr = unix.IoctlGetInt(int(descriptor), unix.TIOCOUTQ)
+		count, countErr = sock.Unacknowledged(descriptor)
 	}); err != nil {
 		return 0, Error.New("use the socket: %w", err)
 	}
 	if countErr != nil {
-		return 0, Error.New("read the length of the send queue: %w", countErr)
+		return 0, Error.New("look at the socket: %w", countErr)
 	}
 	return count, nil
 }
--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -69,9 +69,20 @@
 	mutex    sync.Mutex
 	ended    bool
 	liveness liveness
+	// unsent is what the other host's kernel had not acknowledged at the latest ping, in bytes.
+	unsent int
+	// retired is set once another link takes new requests. The link ends with its last one.
+	retired bool
 	// cause is why the dial failed, nil if it did not.
 	cause   error
-	pending map[uint64]chan Payload
+	pending map[uint64]pendingCall
+}
+
+// pendingCall is a request that waits for its reply.
+type pendingCall struct {
+	reply chan Payload
+	// patient is set if the request outlasts the silence of its link.
+	patient bool
 }
 
 // NewClient starts the client's event loop. It calls onDatagram for each datagram
@@ -112,7 +123,7 @@
 	if err != nil {
 		return Payload{}, errors.Join(ErrNotSent, err)
 	}
-	reply, err := link.addPending(number)
+	reply, err := link.addPending(number, isPatient(ctx))
 	if err != nil {
 		return Payload{}, errors.Join(ErrNotSent, err)
 	}
@@ -138,17 +149,17 @@
 
 // addPending registers a request and returns the channel that gets its reply. The
 // channel is closed if the link ends first.
-func (outbound *outbound) addPending(number uint64) (chan Payload, error) {
+func (outbound *outbound) addPending(number uint64, patient bool) (chan Payload, error) {
 	outbound.mutex.Lock()
 	defer outbound.mutex.Unlock()
-	if outbound.ended {
+	if outbound.ended || outbound.retired {
 		return nil, Error.New("link to %s has ended", outbound.address)
 	}
 	if len(outbound.pending) >= maxPending {
 		return nil, Error.New("link to %s already has %d pending requests", outbound.address, maxPending)
 	}
 	reply := make(chan Payload, 1)
-	outbound.pending[number] = reply
+	outbound.pending[number] = pendingCall{reply: reply, patient: patient}
 	return reply, nil
 }
 
@@ -156,6 +167,7 @@
 	outbound.mutex.Lock()
 	defer outbound.mutex.Unlock()
 	delete(outbound.pending, number)
+	outbound.endRetired()
 }
 
 // readyLink returns the link to a host once its handshake is complete. It dials
@@ -212,7 +224,7 @@
 	link = &outbound{
 		address: address,
 		ready:   make(chan struct{}), closed: make(chan struct{}),
-		pending: map[uint64]chan Payload{},
+		pending: map[uint64]pendingCall{},
 	}
 	client.links[address] = link
 	go client.dial(link)
@@ -240,12 +252,17 @@
 
 // removeLink ends a link and removes it, so that the next request dials again.
 func (client *Client) removeLink(link *outbound) {
+	client.forget(link)
+	link.terminate()
+}
+
+// forget has the next request dial again.
+func (client *Client) forget(link *outbound) {
 	client.mutex.Lock()
+	defer client.mutex.Unlock()
 	if client.links[link.address] == link {
 		delete(client.links, link.address)
 	}
-	client.mutex.Unlock()
-	link.terminate()
 }
 
 // attach sets the link's connection, and closes it if the link has ended during
@@ -340,9 +357,16 @@
 	}
 	outbound.ended = true
 	close(outbound.closed)
-	for number, reply := range outbound.pending {
-		close(reply)
-		delete(outbound.pending, number)
+	outbound.failPending(func(pendingCall) bool { return true })
+}
+
+// failPending fails the pending requests that match. The mutex must be held.
+func (outbound *outbound) failPending(matches func(pendingCall) bool) {
+	for number, call := range outbound.pending {
+		if matches(call) {
+			close(call.reply)
+			delete(outbound.pending, number)
+		}
 	}
 }
 
@@ -426,10 +450,11 @@
 	}
 	outbound.mutex.Lock()
 	defer outbound.mutex.Unlock()
-	reply, ok := outbound.pending[received.number]
+	call, ok := outbound.pending[received.number]
 	if ok {
 		delete(outbound.pending, received.number)
-		reply <- payload
+		call.reply <- payload
+		outbound.endRetired()
 	}
 	return nil
 }
--- a/internal/peer/links/links_test.go
+++ b/internal/peer/links/links_test.go
@@ -214,7 +214,7 @@
 		t.Run(testcase.name, func(t *testing.T) {
 			is := is.New(t)
 			address := freeAddress(t)
-			link := &outbound{address: address, conn: testcase.conn, ready: make(chan struct{}), closed: make(chan struct{}), pending: map[uint64]chan Payload{}}
+			link := &outbound{address: address, conn: testcase.conn, ready: make(chan struct{}), closed: make(chan struct{}), pending: map[uint64]pendingCall{}}
 			close(link.ready)
 			client := &Client{links: map[netip.AddrPort]*outbound{address: link}}
 			_, err := client.Call(t.Context(), address, Payload{Kind: "any"})
--- a/internal/peer/links/live.go
+++ b/internal/peer/links/live.go
@@ -1,6 +1,11 @@
 package links
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"damaskcrank.example/damaskcrank/internal/base/sock"
+)
 
 const (
 	// checkInterval is how often links with pending calls are checked for silence.
@@ -73,8 +78,7 @@
 		case verdictPing:
 			link.ping()
 		case verdictClose:
-			client.removeLink(link)
-			link.closeConn()
+			client.replace(link)
 		case verdictNone:
 		}
 	}
@@ -94,8 +98,91 @@
 	return outbound.liveness.check(now, heard, !ready || len(outbound.pending) > 0, ready)
 }
 
+// replace has new requests use another link than one on which nothing is received. The patient
+// requests on it go on if the other host's kernel acknowledges what is sent: the host works, and
+// is slow or behind a congested link.
+func (client *Client) replace(link *outbound) {
+	if link.acknowledges() && link.retire() {
+		client.forget(link)
+		return
+	}
+	client.removeLink(link)
+	link.closeConn()
+}
+
+// acknowledges reports whether the other host's kernel has acknowledged something since the
+// latest ping, or all.
+func (outbound *outbound) acknowledges() bool {
+	count, known := outbound.countUnsent()
+	outbound.mutex.Lock()
+	defer outbound.mutex.Unlock()
+	return known && acknowledged(outbound.unsent, count)
+}
+
+// acknowledged reports whether the other host's kernel has acknowledged something between two
+// counts of bytes that it has not, or all.
+func acknowledged(before, now int) bool { return now == 0 || now < before }
+
+// countUnsent returns the number of bytes that the other host's kernel has not acknowledged. It
+// looks only if patient requests wait.
+func (outbound *outbound) countUnsent() (count int, known bool) {
+	outbound.mutex.Lock()
+	defer outbound.mutex.Unlock()
+	if outbound.conn == nil || !outbound.hasPatient() {
+		return 0, false
+	}
+	count, err := sock.Unacknowledged(uintptr(outbound.conn.Fd()))
+	return count, err == nil
+}
+
+// hasPatient reports whether patient requests wait. The mutex must be held.
+func (outbound *outbound) hasPatient() bool {
+	for _, call := range outbound.pending {
+		if call.patient {
+			return true
+		}
+	}
+	return false
+}
+
+// retire lets only the patient requests wait, and reports whether there are any.
+func (outbound *outbound) retire() bool {
+	outbound.mutex.Lock()
+	defer outbound.mutex.Unlock()
+	if outbound.ended || !outbound.hasPatient() {
+		return false
+	}
+	outbound.retired = true
+	outbound.failPending(func(call pendingCall) bool { return !call.patient })
+	return true
+}
+
+// endRetired closes a link that is retired once no request is left. The mutex must be held.
+func (outbound *outbound) endRetired() {
+	if outbound.retired && len(outbound.pending) == 0 && outbound.conn != nil {
+		_ = outbound.conn.Close()
+	}
+}
+
+// patience is the key of the context's value that marks patient requests.
+type patience struct{}
+
+// WithPatience returns the context of a request that outlasts the silence of its link, as its
+// reply may take as long as its work. It fails if the connection ends, or if the other host's
+// kernel acknowledges nothing any more.
+func WithPatience(ctx context.Context) context.Context {
+	return context.WithValue(ctx, patience{}, true)
+}
+
+func isPatient(ctx context.Context) bool { return ctx.Value(patience{}) != nil }
+
 // ping sends a request whose reply is discarded. That it is received is enough.
 func (outbound *outbound) ping() {
+	if count, known := outbound.countUnsent(); known {
+		outbound.mutex.Lock()
+		outbound.unsent = count
+		outbound.mutex.Unlock()
+	}
 	encoded, err := Payload{Kind: kindPing, Head: emptyHead}.frame(frameRequest, outbound.lastNumber.Add(1))
 	if err == nil {
 		_ = outbound.write(encoded)
--- a/internal/peer/links/live_test.go
+++ b/internal/peer/links/live_test.go
@@ -93,10 +93,10 @@
 	is := is.New(t)
 	address := netip.MustParseAddrPort("127.0.0.1:1")
 	conn := &closingConn{}
-	link := &outbound{address: address, conn: conn, ready: make(chan struct{}), closed: make(chan struct{}), pending: map[uint64]chan Payload{}}
+	link := &outbound{address: address, conn: conn, ready: make(chan struct{}), closed: make(chan struct{}), pending: map[uint64]pendingCall{}}
 	close(link.ready)
 	client := &Client{links: map[netip.AddrPort]*outbound{address: link}}
-	reply, err := link.addPending(link.lastNumber.Add(1))
+	reply, err := link.addPending(link.lastNumber.Add(1), false)
 	is.NoErr(err)
 	now := time.Unix(1000, 0)
 	for range 20 {
@@ -109,6 +109,97 @@
 	is.Equal(len(client.links), 0)
 }
 
+// standingHost is a host whose replies wait until it goes on, and the link to it, on which
+// nothing is received until then.
+type standingHost struct {
+	client  *Client
+	address netip.AddrPort
+	got     chan string
+	goesOn  chan struct{}
+	link    *outbound
+}
+
+func newStandingHost(t *testing.T) *standingHost {
+	t.Helper()
+	standing := &standingHost{got: make(chan string, 8), goesOn: make(chan struct{})}
+	handler := func(_ context.Context, request Payload) Payload {
+		standing.got <- request.Kind
+		<-standing.goesOn
+		return Payload{Kind: request.Kind + "-reply", Head: emptyHead}
+	}
+	standing.client, standing.address = startServerAndClient(t, trust.Secret("fleet"), handler, nil, nil)
+	is.New(t).NoErr(standing.client.Open(t.Context(), standing.address))
+	standing.client.mutex.Lock()
+	standing.link = standing.client.links[standing.address]
+	standing.client.mutex.Unlock()
+	return standing
+}
+
+// call sends a request, waits until the host has it, and returns what becomes of it.
+func (standinghost *standingHost) call(ctx context.Context, kind string) <-chan string {
+	outcome := make(chan string, 1)
+	go func() {
+		reply, err := standinghost.client.Call(ctx, standinghost.address, Payload{Kind: kind, Head: emptyHead})
+		if err != nil {
+			reply.Kind = err.Error()
+		}
+		outcome <- reply.Kind
+	}()
+	<-standinghost.got
+	return outcome
+}
+
+// TestPatientCallOutlastsSilence guards against requests that an upstream works on and that are
+// given up as the link to the host that sent them is silent, and against others that wait with
+// them.
+func TestPatientCallOutlastsSilence(t *testing.T) {
+	is := is.New(t)
+	standing := newStandingHost(t)
+	patient := standing.call(WithPatience(t.Context()), "patient")
+	impatient := standing.call(t.Context(), "impatient")
+	standing.client.replace(standing.link)
+	is.Equal(<-impatient, ErrLost.Error())
+	later := standing.call(t.Context(), "later") // on another link
+	close(standing.goesOn)
+	is.Equal(<-patient, "patient-reply")
+	is.Equal(<-later, "later-reply")
+	<-standing.link.closed // as its last request has ended
+}
+
+// TestRetiredLinkEndsWithItsContexts guards against links that stay open for requests which wait
+// no longer.
+func TestRetiredLinkEndsWithItsContexts(t *testing.T) {
+	is := is.New(t)
+	standing := newStandingHost(t)
+	defer close(standing.goesOn)
+	ctx, cancel := context.WithCancel(t.Context())
+	patient := standing.call(WithPatience(ctx), "patient")
+	standing.client.replace(standing.link)
+	cancel()
+	is.True(<-patient != "patient-reply")
+	<-standing.link.closed
+}
+
+// TestAcknowledges guards against patient requests that wait for a host which is gone.
+func TestAcknowledges(t *testing.T) {
+	for _, testcase := range []struct {
+		name string
+		// atPing and now are the bytes that are not acknowledged.
+		atPing, now int
+		want        bool
+	}{
+		{"all is acknowledged", 100, 0, true},
+		{"something is acknowledged", 100, 99, true},
+		{"nothing is acknowledged", 100, 100, false},
+		{"nothing is acknowledged, and more is sent", 100, 140, false},
+	} {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(acknowledged(testcase.atPing, testcase.now), testcase.want)
+		})
+	}
+}
+
 // TestPing guards against pings that reach the handler, which would log an unknown request.
 func TestPing(t *testing.T) {
 	is := is.New(t)
