Decline requests of other hosts at the end of a planned stop

A host that stops and sends for others could end while the outcome of a request was on its way, or begin one after it had looked for the last time and cut it off. The caller's host then answers 502 for a request that may have run, which breaks LOST if it stops, too.

Cause: a request counted as done before its outcome was sent, and further ones were taken until the end.

Change: once its callers are served, the host declines requests of others, and ends when none has come or was done for 0.5 s.

--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -136,7 +136,9 @@
 	// sending counts the requests of this host's callers in progress, and forwarding those
 	// of other hosts.
 	sending, forwarding atomic.Int64
-	mutex               sync.Mutex
+	// forwardedAt is when a request of another host last came or was done, in Unix nanoseconds.
+	forwardedAt atomic.Int64
+	mutex       sync.Mutex
 	// unhelpful holds why and until when other hosts are not asked to use a path.
 	unhelpful map[helperPath]refusal
 	// blockedUntil is until when no other host is known to be reached.
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -478,6 +478,43 @@
 	}
 }
 
+// TestSettled guards against hosts that end while the outcome of another host's request, or a
+// further request that would be declined, is on its way: either may have run for that host.
+func TestSettled(t *testing.T) {
+	const within = time.Second
+	for _, testcase := range []struct {
+		name    string
+		send    bool
+		stopped bool
+		elapsed time.Duration
+		want    bool
+	}{
+		{"no request", false, false, 0, true},
+		{"right after a request", true, false, 0, false},
+		{"a moment after a request", true, false, within - 1, false},
+		{"some time after a request", true, false, within, true},
+		{"right after a request that was declined", true, true, 0, false},
+	} {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(t, 3)
+			fleet.hosts[0].cut.Store(true)
+			helper := fleet.hosts[1]
+			helper.StopsAt = func() time.Time {
+				if testcase.stopped {
+					return fleet.clock.Now()
+				}
+				return time.Time{}
+			}
+			if testcase.send {
+				is.Equal(fleet.send(t.Context()).Failure, nil)
+			}
+			fleet.clock.Advance(testcase.elapsed)
+			is.Equal(helper.Settled(within), testcase.want)
+		})
+	}
+}
+
 // TestStoppedVersionOnAllWays guards against requests that reach an upstream of a version which
 // gets none through another host, and against hosts that send for others to it.
 func TestStoppedVersionOnAllWays(t *testing.T) {
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -108,7 +108,9 @@
 }
 
 func (sender *Sender) serve(ctx context.Context, message forwardMessage, body []byte) *forwardReply {
+	sender.recordForward()
 	defer sender.forwarding.Add(-1)
+	defer sender.recordForward()
 	if sender.forwarding.Add(1) > max(minForwarding, sender.sending.Load()) || sender.stopsWithin(message.Left) {
 		return &forwardReply{Outcome: forwardDeclined}
 	}
@@ -152,9 +154,17 @@
 	return !stopsAt.IsZero() && sender.Clock.Now().Add(left).After(stopsAt)
 }
 
+func (sender *Sender) recordForward() { sender.forwardedAt.Store(sender.Clock.Now().UnixNano()) }
+
 // Forwarding returns the number of requests of other hosts in progress.
 func (sender *Sender) Forwarding() int64 { return sender.forwarding.Load() }
 
+// Settled reports whether no request of another host is in progress, and none has come or was
+// done for some time: outcomes and further requests may be on their way after the last one.
+func (sender *Sender) Settled(within time.Duration) bool {
+	return sender.Forwarding() == 0 && sender.Clock.Now().Sub(time.Unix(0, sender.forwardedAt.Load())) >= within
+}
+
 func (sender *Sender) unreached() forwardOutcome {
 	if sender.Paths.Isolated() {
 		return forwardIsolated
--- a/internal/fleet/direct/stop.go
+++ b/internal/fleet/direct/stop.go
@@ -16,6 +16,9 @@
 	// answerParts is the divisor of the margin that yields the time in which requests that
 	// are still in progress are answered and their connections closed.
 	answerParts = 2
+	// forwardSettleTime is how long a request of another host, or the outcome of one, may be on its way.
+	// Links ask for a sign of life after this silence.
+	forwardSettleTime = 500 * time.Millisecond
 	// stopPollInterval is the time between two looks for requests of other hosts.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -57,9 +60,12 @@
 	return nil
 }
 
-// awaitForwarded waits until this host sends no requests for other hosts.
+// awaitForwarded declines further requests of other hosts, and waits until those that this host
+// sends are done and their outcomes have arrived.
 func (entry *Entry) awaitForwarded(ctx context.Context) {
-	for entry.sender.Forwarding() > 0 {
+	now := entry.options.Clock.Now()
+	entry.stopsAt.Store(&now)
+	for !entry.sender.Settled(forwardSettleTime) {
 		select {
 		case <-ctx.Done():
 			return
