Answer whole heads that no memory is left for

A caller whose request was read whole had its connection closed without an answer if no memory was left for the head within 0.5 s. It can't know that the request did not run, and may not send again what must run once. Near a planned stop that is LOST, too.

Change: 503 with Retry-After, which is true: nothing was passed on. What is not whole is closed as before. TestHeadWithoutMemoryIsRefused fails before (EOF). The tests of drains and of this share a server whose memory is taken, on a fake clock.

--- a/internal/base/budget/budget.go
+++ b/internal/base/budget/budget.go
@@ -69,13 +69,6 @@
 	return budget.used
 }
 
-// Waiting reports whether a whole head waits for a part of the budget.
-func (budget *Budget) Waiting() bool {
-	budget.mutex.Lock()
-	defer budget.mutex.Unlock()
-	return len(budget.waiters) > 0
-}
-
 // Total returns the size of the budget.
 func (budget *Budget) Total() int64 { return budget.total }
 
--- a/internal/base/intake/conn.go
+++ b/internal/base/intake/conn.go
@@ -26,6 +26,9 @@
 	maxBodyBytes = 64 << 10
 	// admitTimeout is how long a whole head waits for the budget.
 	admitTimeout = 500 * time.Millisecond
+	// retryAfter is the Retry-After for whole heads that no memory is left for, in seconds.
+	// Requests are served within about a second.
+	retryAfter = "1"
 	// writeBytes is the part of an answer that has to be taken within writeTimeout. Callers'
 	// deadlines are shorter.
 	writeBytes   = 16 << 10
@@ -302,7 +305,7 @@
 	}
 	cost := budget.HeadCost(conn.head.length, conn.head.lines) + min(whole.left, maxBodyBytes)
 	if !conn.admit(cost) {
-		return conn.refuse(ReasonHeadsFull, 0)
+		return conn.refuse(ReasonHeadsFull, http.StatusServiceUnavailable)
 	}
 	conn.framing, conn.head, conn.scanned, conn.headDeadline, conn.stage = framing, head{}, 0, time.Time{}, stageBody
 	return conn.setOwnDeadline(time.Time{})
@@ -342,7 +345,11 @@
 	if status == 0 {
 		return errRefused
 	}
-	answer := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	answer := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n"
+	if status == http.StatusServiceUnavailable {
+		answer += "Retry-After: " + retryAfter + "\r\n"
+	}
+	answer += "\r\n"
 	if _, err := conn.Write([]byte(answer)); err != nil {
 		return errRefused
 	}
--- a/internal/base/intake/drain_test.go
+++ b/internal/base/intake/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -103,46 +104,70 @@
 	is.Equal(status(t, reader), http.StatusOK)
 }
 
-// TestDrainAnswersHeadsThatWait guards against whole heads that wait for memory when the drain
-// begins and are dropped.
-func TestDrainAnswersHeadsThatWait(t *testing.T) {
+// fullServer is a server whose memory for heads is taken by requests in progress, and a caller
+// whose whole head waits for memory.
+type fullServer struct {
+	listener *Listener
+	clock    *clockwork.FakeClock
+	reader   *bufio.Reader
+	release  chan struct{}
+}
+
+func newFullServer(t *testing.T) *fullServer {
+	t.Helper()
 	is := is.New(t)
+	server := &fullServer{clock: clockwork.NewFakeClock(), release: make(chan struct{})}
 	var running atomic.Int64
-	release := make(chan struct{})
-	standing := clockwork.NewFakeClock() // heads wait as long as it takes
-	listener := serveWithClock(t, 0, nil, standing, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+	server.listener = serveWithClock(t, 0, nil, server.clock, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		if request.Header.Get("Large") != "" {
 			running.Add(1)
-			<-release
+			<-server.release
 		}
 	}))
-	waiting, waitingReader := dial(t, listener)
-	is.Equal(exchange(t, waiting, waitingReader, wholeHead), http.StatusOK)
-	large := usualHead + "Large: x\r\n"
-	for range 3000 {
-		large += "a:\r\n"
-	}
+	conn, reader := dial(t, server.listener)
+	server.reader = reader
+	is.Equal(exchange(t, conn, reader, wholeHead), http.StatusOK)
+	large := usualHead + "Large: x\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n"
 	for range 2 {
-		conn, _ := dial(t, listener)
-		_, err := io.WriteString(conn, large+"\r\n")
+		other, _ := dial(t, server.listener)
+		_, err := io.WriteString(other, large)
 		is.NoErr(err)
 	}
 	for running.Load() < 2 {
 		<-time.After(time.Millisecond)
 	}
-	_, err := io.WriteString(waiting, large+"\r\n")
+	_, err := io.WriteString(conn, large)
 	is.NoErr(err)
-	budget := listener.options.Budget
-	for deadline := time.Now().Add(drainTimeout); !budget.Waiting(); {
-		is.True(time.Now().Before(deadline)) // the head waits for memory
-		<-time.After(time.Millisecond)
-	}
-	drained := startDrain(t, listener)
-	close(release)
-	is.Equal(status(t, waitingReader), http.StatusOK)
+	is.NoErr(server.clock.BlockUntilContext(t.Context(), 1)) // the head waits
+	return server
+}
+
+// TestDrainAnswersHeadsThatWait guards against whole heads that wait for memory when the drain
+// begins and are dropped.
+func TestDrainAnswersHeadsThatWait(t *testing.T) {
+	is := is.New(t)
+	server := newFullServer(t)
+	drained := startDrain(t, server.listener)
+	close(server.release)
+	is.Equal(status(t, server.reader), http.StatusOK)
 	is.NoErr(<-drained)
 }
 
+// TestHeadWithoutMemoryIsRefused guards against requests that were read whole and are dropped
+// without an answer, as no memory was left for them.
+func TestHeadWithoutMemoryIsRefused(t *testing.T) {
+	is := is.New(t)
+	server := newFullServer(t)
+	defer close(server.release)
+	server.clock.Advance(admitTimeout)
+	response, err := http.ReadResponse(server.reader, nil)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Retry-After"), retryAfter)
+	is.True(response.Close)
+}
+
 // awaitOpen waits until a number of connections are accepted.
 func awaitOpen(t *testing.T, listener *Listener, count int) {
 	t.Helper()
