Ask whether an upstream may get a request right before it is sent

Cause: whether the upstream may get the request was judged before the connection was opened, which takes up to 0.55 s, and an upstream without keys got requests of earlier permits for another second after its departure was known. Ruled out: that the host never learns of it (one request each).

Change: the connection is asked for first, and the request is not sent if the upstream leaves, rests or has a stopped version by then; the path is not taken for broken, and no other host is asked. An upstream without keys gets nothing more once its departure is known.

--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -162,7 +162,7 @@
 	default:
 		sender.tryPath(path)
 	}
-	if outcome.Failure == nil || outcome.Failure.MayHaveRun() || ctx.Err() != nil {
+	if outcome.Failure == nil || outcome.Failure.MayHaveRun() || unwanted(outcome.Failure) || ctx.Err() != nil {
 		return outcome
 	}
 	return sender.sendThroughOther(ctx, target, request, outcome)
@@ -193,12 +193,17 @@
 		return errVersion
 	}
 	current, known := sender.Scheduler.Target(target.Service, target.Owner)
-	if known && current.Draining && sender.Clock.Now().After(current.DrainDeadline) {
-		return errDrained
+	if known && current.Draining && (!current.Keyed || sender.Clock.Now().After(current.DrainDeadline)) {
+		return errDrained // others serve what has no key
 	}
 	return nil
 }
 
+// unwanted reports whether a request was not sent because the upstream must not get it.
+func unwanted(failure *pool.SendError) bool {
+	return failure != nil && (errors.Is(failure, errResting) || errors.Is(failure, errVersion) || errors.Is(failure, errDrained))
+}
+
 // recordNotice records what an upstream says in an answer that came on this host's path or
 // through another host.
 func (sender *Sender) recordNotice(target admit.Target, response *pool.Response) {
@@ -233,12 +238,15 @@
 func (sender *Sender) sendDirectly(ctx context.Context, target admit.Target, request *pool.Request) Outcome {
 	path := pathTo(target)
 	defer sender.Paths.Begin(path)()
+	request.Allowed = func() error { return sender.check(target) }
 	response, failure := sender.Pool.Send(ctx, path.Address, request)
 	switch {
 	case failure == nil:
 		sender.Paths.RecordReached(path)
 		sender.recordNotice(target, response)
 		return Outcome{Response: response}
+	case unwanted(failure):
+		return Outcome{Failure: failure}
 	case !failure.MayHaveRun():
 		if ctx.Err() == nil {
 			sender.Paths.RecordUnreached(path, failure.Error())
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -384,6 +384,52 @@
 	is.Equal(fleet.send(t.Context()).Helper, "c")
 }
 
+// TestUpstreamThatLeavesWhileConnecting guards against requests that reach an upstream too late
+// after it said that it leaves, as the connection to it took a while, on a host's own path and on
+// that of another host, and against paths that are taken for broken by them.
+func TestUpstreamThatLeavesWhileConnecting(t *testing.T) {
+	const drainTime = time.Second
+	for _, testcase := range []struct {
+		name  string
+		keyed bool
+		cut   bool
+		// leftFor is how long ago the upstream's departure became known.
+		leftFor time.Duration
+		runs    int64
+	}{
+		{"it stays", false, false, -1, 1},
+		{"without a key", false, false, 0, 0},
+		{"with a key, in time", true, false, drainTime / 2, 1},
+		{"with a key, too late", true, false, 2 * drainTime, 0},
+		{"without a key, through another host", false, true, 0, 0},
+	} {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(t, 2)
+			fleet.hosts[0].cut.Store(testcase.cut)
+			fleet.target.Keyed = testcase.keyed
+			leaving := fleet.target
+			leaving.Draining, leaving.DrainDeadline = testcase.leftFor >= 0, fleet.clock.Now().Add(drainTime-testcase.leftFor)
+			for _, host := range fleet.hosts {
+				host.Scheduler.Update(fleet.target.Service, []admit.Target{fleet.target}, spans.Table{})
+				dial := host.Pool.Dial
+				host.Pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+					conn, err := dial(ctx, address)
+					if err == nil {
+						host.Scheduler.Update(fleet.target.Service, []admit.Target{leaving}, spans.Table{})
+					}
+					return conn, err
+				}
+			}
+			got := fleet.send(t.Context())
+			is.Equal(fleet.runs.Load(), testcase.runs)
+			is.Equal(got.Failure == nil, testcase.runs > 0)
+			is.True(got.Failure == nil || !got.Failure.MayHaveRun())
+			is.True(testcase.cut || fleet.hosts[0].Paths.Usable(pathTo(fleet.target)))
+		})
+	}
+}
+
 // TestOutageOfUpstreamsBlocksNoHost guards against hosts that turn their callers away, all
 // at once, because none of them reaches upstreams, while they reach each other.
 func TestOutageOfUpstreamsBlocksNoHost(t *testing.T) {
--- a/internal/dispatch/detour/forward.go
+++ b/internal/dispatch/detour/forward.go
@@ -134,6 +134,8 @@
 	switch {
 	case failure == nil:
 		return answer(outcome.Response)
+	case unwanted(failure):
+		return &forwardReply{Outcome: forwardDeclined}
 	case !failure.MayHaveRun() && ctx.Err() == nil:
 		return &forwardReply{Outcome: sender.unreached()}
 	case failure.Failure == pool.FailureLost:
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -204,6 +204,10 @@
 	if err != nil {
 		return nil, unsentError(err)
 	}
+	if err := request.allowed(); err != nil {
+		connection.reset() // a part of the head may be sent
+		return nil, &SendError{Failure: FailureNotSent, Cause: err}
+	}
 	stop := connection.interruptAfter(ctx)
 	defer stop()
 	if err := connection.writeAll(unsent, request.separateBody()); err != nil {
--- a/internal/dispatch/pool/request.go
+++ b/internal/dispatch/pool/request.go
@@ -23,6 +23,9 @@
 	Host   string
 	Header http.Header
 	Body   Body
+	// Allowed, if set, is asked once the connection is ready, which may take a while. With an
+	// error the request is not sent.
+	Allowed func() error
 	// OnLateLoss, if set, is called if the context ended first and the upstream then
 	// ends the connection without a byte of the response.
 	OnLateLoss func()
@@ -33,6 +36,14 @@
 	Flow *pacer.Flow
 }
 
+// allowed returns an error if the request must not be sent any more.
+func (request *Request) allowed() error {
+	if request.Allowed == nil {
+		return nil
+	}
+	return request.Allowed()
+}
+
 // separateBody returns the body if it is too long to be encoded together with the head.
 func (request *Request) separateBody() Body {
 	if request.Body.Len() <= maxEncodedBodyBytes {
