Let forwarded requests outlast silence whatever is acknowledged

Cause: a patient request outlasted the silence of its link only while the other host's kernel acknowledged something in half a second. Suspected: on a congested link of 3.7 Mbit/s that takes as long as a reply, and what a host goes on queueing hides it. The fix fails for the very links it is for.

Change: silence ends no patient request. Their contexts end them, and the end of the connection.

--- a/internal/base/sock/sock.go
+++ b/internal/base/sock/sock.go
@@ -8,7 +8,6 @@
 	"syscall"
 
 	"github.com/zeebo/errs"
-	"golang.org/x/sys/unix"
 )
 
 // Error is the class of all errors of this package.
@@ -66,16 +65,6 @@
 	}
 }
 
-// Unacknowledged returns the number of bytes sent on a socket that the other side's kernel has
-// not acknowledged.
-func Unacknowledged(descriptor uintptr) (int, error) {
-	count, err := unix.IoctlGetInt(int(descriptor), unix.TIOCOUTQ)
-	if err != nil {
-		return 0, Error.New("read the length of the send queue: %w", err)
-	}
-	return count, nil
-}
-
 // SetReceiveBuffer returns a function for net.Dialer that bounds the bytes that the other side
 // may send before they are read. The kernel takes the size only before the connection is open.
 func SetReceiveBuffer(size int) func(network, address string, raw syscall.RawConn) error {
--- a/internal/dispatch/pool/begin.go
+++ b/internal/dispatch/pool/begin.go
@@ -9,8 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"damaskcrank.example/damaskcrank/internal/base/sock"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -109,12 +108,12 @@
 	}
 	count, countErr := 0, error(nil)
 	if err := rawConn.Control(func(descriptor uintptr) {
-		count, countErr = sock.Unacknowledged(descriptor)
+		count, countErr = unix.IoctlGetInt(int(descriptor), unix.TIOCOUTQ)
 	}); err != nil {
 		return 0, Error.New("use the socket: %w", err)
 	}
 	if countErr != nil {
-		return 0, Error.New("look at the socket: %w", countErr)
+		return 0, Error.New("read the length of the send queue: %w", countErr)
 	}
 	return count, nil
 }
--- a/internal/peer/links/client.go
+++ b/internal/peer/links/client.go
@@ -69,8 +69,6 @@
 	mutex    sync.Mutex
 	ended    bool
 	liveness liveness
-	// unsent is what the other host's kernel had not acknowledged at the latest ping, in bytes.
-	unsent int
 	// retired is set once another link takes new requests. The link ends with its last one.
 	retired bool
 	// cause is why the dial failed, nil if it did not.
--- a/internal/peer/links/live.go
+++ b/internal/peer/links/live.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
 
 const (
@@ -98,11 +96,10 @@
 	return outbound.liveness.check(now, heard, !ready || len(outbound.pending) > 0, ready)
 }
 
-// replace has new requests use another link than one on which nothing is received. The patient
-// requests on it go on if the other host's kernel acknowledges what is sent: the host works, and
-// is slow or behind a congested link.
+// replace has new requests use another link than one on which nothing is received, and fails the
+// requests on it that are not patient.
 func (client *Client) replace(link *outbound) {
-	if link.acknowledges() && link.retire() {
+	if link.retire() {
 		client.forget(link)
 		return
 	}
@@ -110,31 +107,6 @@
 	link.closeConn()
 }
 
-// acknowledges reports whether the other host's kernel has acknowledged something since the
-// latest ping, or all.
-func (outbound *outbound) acknowledges() bool {
-	count, known := outbound.countUnsent()
-	outbound.mutex.Lock()
-	defer outbound.mutex.Unlock()
-	return known && acknowledged(outbound.unsent, count)
-}
-
-// acknowledged reports whether the other host's kernel has acknowledged something between two
-// counts of bytes that it has not, or all.
-func acknowledged(before, now int) bool { return now == 0 || now < before }
-
-// countUnsent returns the number of bytes that the other host's kernel has not acknowledged. It
-// looks only if patient requests wait.
-func (outbound *outbound) countUnsent() (count int, known bool) {
-	outbound.mutex.Lock()
-	defer outbound.mutex.Unlock()
-	if outbound.conn == nil || !outbound.hasPatient() {
-		return 0, false
-	}
-	count, err := sock.Unacknowledged(uintptr(outbound.conn.Fd()))
-	return count, err == nil
-}
-
 // hasPatient reports whether patient requests wait. The mutex must be held.
 func (outbound *outbound) hasPatient() bool {
 	for _, call := range outbound.pending {
@@ -168,8 +140,7 @@
 type patience struct{}
 
 // WithPatience returns the context of a request that outlasts the silence of its link, as its
-// reply may take as long as its work. It fails if the connection ends, or if the other host's
-// kernel acknowledges nothing any more.
+// reply may take as long as its work. It fails once the connection or the context ends.
 func WithPatience(ctx context.Context) context.Context {
 	return context.WithValue(ctx, patience{}, true)
 }
@@ -178,11 +149,6 @@
 
 // ping sends a request whose reply is discarded. That it is received is enough.
 func (outbound *outbound) ping() {
-	if count, known := outbound.countUnsent(); known {
-		outbound.mutex.Lock()
-		outbound.unsent = count
-		outbound.mutex.Unlock()
-	}
 	encoded, err := Payload{Kind: kindPing, Head: emptyHead}.frame(frameRequest, outbound.lastNumber.Add(1))
 	if err == nil {
 		_ = outbound.write(encoded)
