--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -205,7 +205,10 @@
 		controls = append(controls, fleet.add("control", number+1))
 	}
 	entries := []*host{fleet.add("entry", 11), fleet.add("entry", 12)}
-	for _, host := range fleet.hosts {
+	for position, host := range fleet.hosts {
+		if position == 3 { // the seeds have started; all start within 0.3 s of each other
+			time.Sleep(200 * time.Millisecond)
+		}
 		if err := host.start(true); err != nil {
 			return false, err
 		}
