Exchange a control host that stops for a learner

What operators saw: after a planned replacement of a control host, the loss of two disks within three seconds of the SIGTERM lost everything.

Cause: a control host that stops handed leadership over and stayed a voter until it had been silent for 3 s. Until then its successor was a learner, and the group of five bore one loss in place of two.

Change: the host tells the leader that it stops. The leader makes a learner that has caught up a voter and then removes the host, so that the group has one voter more in between and never one less. Leadership goes to a voter that responds and stays, if there is one. The number of losses that the group bears is logged when it changes and served as a gauge.

--- a/internal/control/group/member.go
+++ b/internal/control/group/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"damaskcrank.example/damaskcrank/internal/control/raft"
 	"damaskcrank.example/damaskcrank/internal/control/state"
@@ -11,6 +12,10 @@
 // to voter.
 const maxPromoteLag = 64
 
+// respondTimeouts is the silence, in election timeouts, from which a leader without a
+// quorum steps down.
+const respondTimeouts = 2
+
 // changedMembers returns the membership that results from the change.
 func (node *Node) changedMembers(args ChangeArgs) (raft.Members, error) {
 	members := node.core.Members()
@@ -44,21 +49,31 @@
 	return members, nil
 }
 
-// transfer starts a leadership transfer to the voter with the longest matching
-// log.
+// transfer starts a leadership transfer to the voter with the longest matching log, if
+// possible to one that responds and is not about to stop itself.
 func (node *Node) transfer(work *batchWork) bool {
+	if node.core.Role() != raft.RoleLeader {
+		return false
+	}
+	view := node.membershipView(node.options.Clock.Now())
 	var target raft.MemberID
-	for _, member := range node.core.Members().Voters {
-		if member.ID != node.id && (target == "" || node.core.MatchIndex(member.ID) > node.core.MatchIndex(target)) {
-			target = member.ID
+	var targetStays bool
+	for _, member := range view.members.Voters {
+		if member.ID == node.id {
+			continue
+		}
+		stays := view.silentFor(member.ID) <= node.respondTime() && !view.isLeaving(member.ID)
+		longer := node.core.MatchIndex(member.ID) > node.core.MatchIndex(target)
+		if target == "" || stays && !targetStays || stays == targetStays && longer {
+			target, targetStays = member.ID, stays
 		}
 	}
-	if target == "" || node.core.Role() != raft.RoleLeader {
-		return false
-	}
-	return node.step(raft.Transfer{To: target}, work).Err == nil
+	return target != "" && node.step(raft.Transfer{To: target}, work).Err == nil
 }
 
+// respondTime is how long a member may be silent and still counts as responding.
+func (node *Node) respondTime() time.Duration { return respondTimeouts * node.options.Timing.Election }
+
 // hello returns the identity of the member and the membership its group was
 // formed with.
 func (node *Node) hello() HelloReply {
--- a/internal/control/group/membership.go
+++ b/internal/control/group/membership.go
@@ -36,10 +36,11 @@
 	requestedAt time.Time
 }
 
-// membership tracks the join requests that the leader has received. The zero
+// membership tracks the requests to join and to leave that the leader has received. The zero
 // value has none.
 type membership struct {
 	joiners       map[raft.MemberID]joiner
+	leavers       map[raft.MemberID]leaver
 	nextReconcile time.Time
 }
 
@@ -52,7 +53,9 @@
 	// leaderSince is when this member became leader.
 	leaderSince time.Time
 	joiners     []joiner
-	contact     func(raft.MemberID) time.Time
+	// leavers holds the members that are about to stop, those first that asked first.
+	leavers []leaver
+	contact func(raft.MemberID) time.Time
 	// caughtUp reports whether a learner holds all but the last few entries.
 	caughtUp func(raft.MemberID) bool
 }
@@ -73,10 +76,11 @@
 // nextChange returns the next membership change that is due, if any. A member
 // whose disk was replaced and learners that are unresponsive are removed, hosts
 // that ask to join become learners, and learners that have caught up become
-// voters or replace unresponsive voters.
+// voters or replace voters that are about to stop or unresponsive.
 func (membershipview membershipView) nextChange() (ChangeArgs, bool) {
 	for _, rule := range []func() (ChangeArgs, bool){
-		membershipview.replacedDisk, membershipview.unresponsiveLearner, membershipview.newLearner, membershipview.newVoter,
+		membershipview.replacedDisk, membershipview.unresponsiveLearner, membershipview.newLearner,
+		membershipview.leavingVoter, membershipview.surplusVoter, membershipview.newVoter,
 	} {
 		if change, due := rule(); due {
 			return change, true
@@ -115,7 +119,19 @@
 			responding++
 		}
 	}
-	return others > 1 && responding > others/2
+	return (others > 1 || others >= membershipview.targetVoters) && responding > others/2
+}
+
+// losses returns how many further voters may be lost before the others form no quorum.
+// Voters that are about to stop or have not responded for the given time count as lost.
+func (membershipview membershipView) losses(silence time.Duration) int {
+	responding := 0
+	for _, voter := range membershipview.members.Voters {
+		if membershipview.silentFor(voter.ID) <= silence && !membershipview.isLeaving(voter.ID) {
+			responding++
+		}
+	}
+	return max(0, responding-membershipview.members.Quorum())
 }
 
 func (membershipview membershipView) unresponsiveLearner() (ChangeArgs, bool) {
@@ -143,7 +159,7 @@
 // it.
 func (membershipview membershipView) newVoter() (ChangeArgs, bool) {
 	for _, learner := range membershipview.members.Learners {
-		if !membershipview.caughtUp(learner.ID) || membershipview.silentFor(learner.ID) > joinRequestTTL {
+		if !membershipview.caughtUp(learner.ID) || !membershipview.awaitsPromotion(learner.ID) {
 			continue
 		}
 		if len(membershipview.members.Voters) < membershipview.targetVoters {
@@ -166,9 +182,29 @@
 		return
 	}
 	node.membership.nextReconcile = now.Add(reconcileInterval)
+	view := node.membershipView(now)
+	change, due := view.nextChange()
+	if !due {
+		return
+	}
+	members, err := node.changedMembers(change)
+	if err != nil {
+		node.options.Log.WithError(err).Warn(logPrefix + "cannot make the membership change")
+		return
+	}
+	if output := node.step(raft.ProposeMembers{Members: members}, work); output.Err != nil {
+		return // the previous change is not committed yet; retried at the next check
+	}
+	node.options.Log.WithField("change", string(change.Kind)).WithField("member", string(change.Member.ID)).
+		WithField("voters", len(members.Voters)).Info(logPrefix + "proposed a membership change")
+}
+
+// membershipView returns what the leader knows about the group.
+func (node *Node) membershipView(now time.Time) membershipView {
 	view := membershipView{
 		self: node.id, members: node.core.Members(), targetVoters: node.options.TargetVoters, now: now,
 		leaderSince: node.core.LeaderSince(), contact: node.core.LastContact,
+		leavers: node.membership.currentLeavers(now),
 		caughtUp: func(id raft.MemberID) bool {
 			match := node.core.MatchIndex(id)
 			return match > 0 && match+maxPromoteLag >= node.core.LastIndex()
@@ -181,20 +217,7 @@
 		}
 		view.joiners = append(view.joiners, joiner)
 	}
-	change, due := view.nextChange()
-	if !due {
-		return
-	}
-	members, err := node.changedMembers(change)
-	if err != nil {
-		node.options.Log.WithError(err).Warn(logPrefix + "cannot make the membership change")
-		return
-	}
-	if output := node.step(raft.ProposeMembers{Members: members}, work); output.Err != nil {
-		return // the previous change is not committed yet; retried at the next check
-	}
-	node.options.Log.WithField("change", string(change.Kind)).WithField("member", string(change.Member.ID)).
-		WithField("voters", len(members.Voters)).Info(logPrefix + "proposed a membership change")
+	return view
 }
 
 // recordJoiner records a join request if the node is the leader, and replies
@@ -222,7 +245,7 @@
 }
 
 // Join asks the control hosts to add the node to their group whenever it knows
-// no leader, until the context ends.
+// no leader, until the context ends or the node is about to stop.
 func (node *Node) Join(ctx context.Context, client *Client) {
 	self := raft.Member{ID: node.id, Address: node.options.Address}
 	for {
@@ -233,7 +256,7 @@
 			return
 		case <-node.options.Clock.After(joinInterval):
 		}
-		if node.Status().Leader == "" {
+		if node.Status().Leader == "" && !node.leaving.Load() {
 			client.join(self)
 		}
 	}
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -137,12 +137,26 @@
 	Formed     bool
 	LedgerSize int
 	// Format is the format of the log that the group uses.
-	Format      uint64
-	Members     []MemberStatus
+	Format  uint64
+	Members []MemberStatus
+	// Losses is how many further voters the group may lose and still commit changes, as the
+	// leader knows it. It is 0 on other members.
+	Losses      int
 	LeaseEnd    time.Time
 	LeaderSince time.Time
 }
 
+// Voters returns the number of voters.
+func (status Status) Voters() int {
+	voters := 0
+	for _, member := range status.Members {
+		if member.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
 // LaggingArgs requests the live hosts that have not applied an index.
 type LaggingArgs struct{ Index uint64 }
 
--- a/internal/control/group/node.go
+++ b/internal/control/group/node.go
@@ -158,9 +158,14 @@
 	// for responses.
 	peerAddresses map[raft.MemberID]netip.AddrPort
 	membership    membership
-	formats       formats
-	compressed    compressedCatalog
-	batches       batchCache
+	// leaving is set once the member is about to stop.
+	leaving atomic.Bool
+	formats formats
+	// loggedLosses is the number of losses that was logged last, -1 if none was since the
+	// member became leader.
+	loggedLosses int
+	compressed   compressedCatalog
+	batches      batchCache
 	// answerAt is when the pending fetches for which there are changes are answered, zero
 	// if there are none.
 	answerAt        time.Time
@@ -414,6 +419,8 @@
 		node.change(message, work)
 	case joinRequest:
 		message.reply <- node.recordJoiner(message.member, message.format)
+	case leaveRequest:
+		message.reply <- node.leave(message.member, work)
 	case transferRequest:
 		started := node.transfer(work)
 		// Publish the end of the lease before the other member is told to take
@@ -521,6 +528,7 @@
 		Format:      node.machine.Format,
 		LeaseEnd:    node.core.LeaseEnd(),
 		LeaderSince: node.core.LeaderSince(),
+		Losses:      node.losses(),
 	}
 	for _, member := range members.All() {
 		status.Members = append(status.Members, MemberStatus{
@@ -540,6 +548,24 @@
 	}
 }
 
+// losses returns how many further voters the group may lose, if the node is the leader, and
+// logs changes of that number.
+func (node *Node) losses() int {
+	if node.core.Role() != raft.RoleLeader {
+		node.loggedLosses = -1
+		return 0
+	}
+	view := node.membershipView(node.options.Clock.Now())
+	losses := view.losses(node.respondTime())
+	if losses != node.loggedLosses {
+		node.options.Log.WithField("losses", losses).WithField("voters", len(view.members.Voters)).
+			WithField("targetVoters", node.options.TargetVoters).WithField("learners", len(view.members.Learners)).
+			WithField("leaving", len(view.leavers)).Info(logPrefix + "the number of losses that the group bears changed")
+		node.loggedLosses = losses
+	}
+	return losses
+}
+
 // enqueue sends a request to the event loop unless the node has stopped.
 func (node *Node) enqueue(ctx context.Context, message request) error {
 	select {
--- a/internal/control/raft/core.go
+++ b/internal/control/raft/core.go
@@ -133,6 +133,9 @@
 // Term returns the member's term.
 func (core *Core) Term() uint64 { return core.hardState.Term }
 
+// Transferring reports whether the member is transferring leadership.
+func (core *Core) Transferring() bool { return core.transfer != "" }
+
 // Leader returns the known leader, or an empty ID.
 func (core *Core) Leader() MemberID { return core.leader }
 
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -40,9 +40,12 @@
 	// snapshotEvery is the number of log entries between two snapshots. It is low
 	// because disks are small; catalogs, and so snapshots, are small too.
 	snapshotEvery = 4000
-	// stopTimeout bounds, when a control host stops, first the handover of
-	// leadership and then the wait for running HTTP requests.
+	// stopTimeout bounds, when a control host stops, first the wait for running HTTP
+	// requests and at last the handover of leadership.
 	stopTimeout = 500 * time.Millisecond
+	// leaveTimeout bounds the time that a learner has to take the place of a control host
+	// that stops: two membership changes and a handover of leadership.
+	leaveTimeout = 4 * electionTimeout
 	// settingsPollInterval is how often the settings file is read again.
 	settingsPollInterval = time.Second
 )
@@ -108,6 +111,8 @@
 		control.Kill()
 		return nil, Error.New("start control: %w", err)
 	}
+	options.Stats.Gauge("control_losses", func() float64 { return float64(node.Status().Losses) })
+	options.Stats.Gauge("control_voters", func() float64 { return float64(node.Status().Voters()) })
 	control.steer.Start()
 	if err := control.listen(handler(control)); err != nil {
 		control.Kill()
@@ -349,18 +354,20 @@
 // example after a disk error.
 func (control *Control) Done() <-chan struct{} { return control.node.Done() }
 
-// Stop hands leadership over and shuts the host down.
+// Stop shuts the host down without lowering the number of losses that the control group
+// bears, where a learner can take its place, and hands leadership over.
 func (control *Control) Stop(_ context.Context) error {
 	control.options.Log.Info(logPrefix + "stopping the control host")
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := control.server.Drain(ctx)
+	control.leaveGroup()
 	if control.node.TransferLeadership() {
 		select {
 		case <-control.options.Clock.After(stopTimeout):
 		case <-control.node.Done():
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err := control.server.Drain(ctx)
 	control.Kill()
 	if err != nil {
 		return Error.New("stop control: %w", err)
@@ -368,6 +375,26 @@
 	return nil
 }
 
+// leaveGroup lets a learner take this host's place in the control group, if there is one.
+func (control *Control) leaveGroup() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	began := control.options.Clock.Now()
+	replaced, err := control.node.Leave(ctx, control.client)
+	line := control.options.Log.WithField("after", control.options.Clock.Now().Sub(began).String()).WithField("replaced", replaced)
+	if err != nil {
+		control.options.Stats.Event("leave", "failed")
+		line.WithError(err).Warn(logPrefix + "no learner took this host's place in the control group in time")
+		return
+	}
+	if replaced {
+		control.options.Stats.Event("leave", "replaced")
+	} else {
+		control.options.Stats.Event("leave", "noLearner")
+	}
+	line.Info(logPrefix + "leaving the control group")
+}
+
 // Kill stops the host immediately, without a handover and without waiting for
 // running requests.
 func (control *Control) Kill() {
--- /dev/null
+++ b/internal/fleet/direct/leave_test.go
@@ -0,0 +1,181 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"damaskcrank.example/damaskcrank/internal/base/conf"
+	"damaskcrank.example/damaskcrank/internal/base/stats"
+	"damaskcrank.example/damaskcrank/internal/control/group"
+	"damaskcrank.example/damaskcrank/internal/control/state"
+)
+
+// exchangeTimeout is several times what a change of the members and an election take.
+const exchangeTimeout = 20 * time.Second
+
+// startTestGroup starts the control hosts of a group that bears a number of losses, and more
+// hosts that join it later, and returns the hosts of the group and those that joined.
+func startTestGroup(t *testing.T, losses, joining int) (voters, joined []*Control) {
+	t.Helper()
+	port := freeAddress(t).Port() // all hosts of a fleet have the same
+	var addresses []netip.AddrPort
+	for number := range 2*losses + 1 + joining {
+		addresses = append(addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(number + 1)}), port))
+	}
+	seeds := addresses[:2*losses+1]
+	start := func(address netip.AddrPort, first bool) *Control {
+		settings := conf.DirectSettings{
+			Host: conf.DirectHost{
+				Name: fmt.Sprintf("core-%s", address.Addr()), DataCentre: "here", DataFolder: t.TempDir(), FirstStart: first,
+			},
+			Listen: conf.DirectListen{Control: freeAddress(t).String()},
+			Peer:   conf.DirectPeer{Address: address, Seeds: seeds, Secret: "a secret of test hosts", ToleratedFailures: losses},
+		}
+		control, err := StartControl(Options{
+			Settings: settings, Reload: func() (conf.DirectSettings, error) { return settings, nil },
+			Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: discard.New()}, Stats: &stats.Set{},
+		}, func(*Control) http.Handler { return http.NotFoundHandler() })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return control
+	}
+	for _, seed := range seeds {
+		voters = append(voters, start(seed, true))
+	}
+	awaitMembers(t, voters[0], len(seeds))
+	for _, address := range addresses[len(seeds):] {
+		joined = append(joined, start(address, false))
+	}
+	for _, control := range voters {
+		awaitMembers(t, control, len(seeds)+joining)
+	}
+	return voters, joined
+}
+
+// awaitMembers waits until a host knows of a number of members, all of which hold the log.
+func awaitMembers(t *testing.T, control *Control, members int) {
+	t.Helper()
+	for deadline := time.Now().Add(longTimeout); time.Now().Before(deadline); time.Sleep(tickInterval) {
+		status, err := control.client.LeaderStatus(t.Context())
+		caughtUp := err == nil && !slices.ContainsFunc(status.Members, func(member group.MemberStatus) bool { return member.Match < status.Commit })
+		if caughtUp && len(status.Members) == members && len(control.node.Status().Members) == members {
+			return
+		}
+	}
+	t.Fatalf("the group does not have %d members", members)
+}
+
+// awaitLeader returns the host that leads, or the first one once the context has ended.
+func awaitLeader(ctx context.Context, controls []*Control) *Control {
+	for ctx.Err() == nil {
+		for _, control := range controls {
+			if control.node.HoldsLease() {
+				return control
+			}
+		}
+		time.Sleep(tickInterval)
+	}
+	return controls[0]
+}
+
+// TestLossesAfterPlannedStops guards against a group that loses everything when, right after
+// planned stops, as many control hosts are lost as it has to bear.
+func TestLossesAfterPlannedStops(t *testing.T) {
+	cases := []struct {
+		name    string
+		losses  int
+		joining int
+		// stopping are the hosts that stop at once; the leader is the first.
+		stopping int
+		leader   bool
+	}{
+		{name: "the only voter", losses: 0, joining: 1, stopping: 1, leader: true},
+		{name: "a follower", losses: 1, joining: 1, stopping: 1},
+		{name: "the leader", losses: 1, joining: 1, stopping: 1, leader: true},
+		{name: "the leader and a follower at once", losses: 1, joining: 2, stopping: 2, leader: true},
+	}
+	for _, testcase := range cases {
+		t.Run(testcase.name, func(t *testing.T) {
+			is := is.New(t)
+			voters, joined := startTestGroup(t, testcase.losses, testcase.joining)
+			slices.SortStableFunc(voters, func(left, right *Control) int {
+				if left.node.HoldsLease() == right.node.HoldsLease() {
+					return 0
+				}
+				if left.node.HoldsLease() == testcase.leader {
+					return -1
+				}
+				return 1
+			})
+			stopped := make(chan error, testcase.stopping)
+			for _, control := range voters[:testcase.stopping] {
+				go func() { stopped <- control.Stop(t.Context()) }()
+			}
+			for range testcase.stopping {
+				is.NoErr(<-stopped)
+			}
+			rest := slices.Concat(joined, voters[testcase.stopping:])
+			for _, control := range rest[len(rest)-testcase.losses:] {
+				control.Kill()
+			}
+			rest = rest[:len(rest)-testcase.losses]
+			for _, control := range rest {
+				defer control.Kill()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
+			defer cancel()
+			is.NoErr(awaitLeader(ctx, rest).propose(ctx, state.EvacuateDataCentre{Name: "there", Evacuated: true}))
+		})
+	}
+}
+
+// TestStopWithoutLearner guards against control hosts that wait at their stop though no learner
+// can take their place, also when all of them stop at once.
+func TestStopWithoutLearner(t *testing.T) {
+	is := is.New(t)
+	voters, _ := startTestGroup(t, 1, 0)
+	stopped := make(chan error, len(voters))
+	began := time.Now()
+	for _, control := range voters {
+		go func() { stopped <- control.Stop(t.Context()) }()
+	}
+	for range voters {
+		is.NoErr(<-stopped)
+	}
+	is.True(time.Since(began) < leaveTimeout)
+	for _, control := range voters {
+		is.Equal(control.options.Stats.EventCount("leave", "noLearner"), uint64(1))
+	}
+}
+
+// TestStoppedHostReturnsAsLearner guards against a host that was exchanged at its stop, comes
+// back with its disk, on which it is still a voter, and never joins the group again.
+func TestStoppedHostReturnsAsLearner(t *testing.T) {
+	is := is.New(t)
+	voters, joined := startTestGroup(t, 1, 1)
+	is.NoErr(voters[2].Stop(t.Context()))
+	options := voters[2].options
+	options.Settings.Host.FirstStart = false
+	options.Stats = &stats.Set{}
+	returned, err := StartControl(options, func(*Control) http.Handler { return http.NotFoundHandler() })
+	is.NoErr(err)
+	for _, control := range append(slices.Concat(voters[:2], joined), returned) {
+		t.Cleanup(control.Kill)
+	}
+	awaitMembers(t, returned, 4)
+	is.Equal(returned.node.Status().Voters(), 3)
+	for _, member := range returned.node.Status().Members {
+		is.True(!member.Voter || member.ID != returned.node.ID())
+	}
+}
