Let learners forget a leader that is lost

What operators saw: a successor of a control host that first heard of a leader which was cut off for a second never joined the group.

Cause: a member that is not a voter in its own log never cleared the leader that it knew, as it starts no election. It asks to join only while it knows no leader.

Change: such a member forgets its leader after an election timeout without contact.

--- a/internal/control/raft/elect.go
+++ b/internal/control/raft/elect.go
@@ -4,10 +4,12 @@
 
 // startElection starts a pre-vote round, so that a partitioned member cannot
 // disrupt a working leader, or the vote itself. With transfer set, voters ignore
-// that they recently heard from the leader.
+// that they recently heard from the leader. A member that is not a voter only
+// forgets the leader, since it may not be a member of that leader's successors.
 func (core *Core) startElection(preVote, transfer bool, now time.Time) {
 	core.resetDeadline(now)
 	if !core.members.IsVoter(core.config.ID) {
+		core.leader = ""
 		return
 	}
 	core.failReads()
--- a/internal/control/raft/raft_test.go
+++ b/internal/control/raft/raft_test.go
@@ -353,6 +353,25 @@
 	is.True(group.leader().Term() > term)
 }
 
+// TestLearnerForgetsLostLeader guards against a host that never asks to join again, since it
+// still knows the leader that added it and was lost before that change was committed, or that
+// removed it while it was silent.
+func TestLearnerForgetsLostLeader(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	core := NewCore(Config{ID: "learner", ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat, Random: func(int64) int64 { return 0 }},
+		HardState{}, Snapshot{}, nil, now)
+	heartbeat := Receive{Envelope{From: "leader", To: "learner", Message: AppendRequest{Term: 1}}}
+	core.Step(heartbeat, now)
+	is.Equal(core.Leader(), MemberID("leader"))
+	core.Step(Tick{}, now.Add(testElection-1))
+	is.Equal(core.Leader(), MemberID("leader"))
+	core.Step(Tick{}, now.Add(testElection))
+	is.Equal(core.Leader(), MemberID(""))
+	core.Step(heartbeat, now.Add(2*testElection))
+	is.Equal(core.Leader(), MemberID("leader"))
+}
+
 func TestRead(t *testing.T) {
 	is := is.New(t)
 	group := newGroup(3, 10, t.Fatalf)
