Hold back acknowledgements until a new group has its voters

Cause: the three seeds form the group and answered orders from then on. The other control hosts become voters within the next second; until then a change is held by two disks of three.

Change: at the first start of a fleet a control host acknowledges a change once it knows of a committed membership with the voters that the tolerated losses ask for, or three seconds after its start, so that a smaller or damaged fleet starts (TestSmallFleetStarts).

--- a/internal/base/conf/direct.go
+++ b/internal/base/conf/direct.go
@@ -229,6 +229,12 @@
 	return nil
 }
 
+// TargetVoters returns the number of control hosts that vote so that the others form a majority
+// after the loss of as many as are tolerated.
+func (directsettings *DirectSettings) TargetVoters() int {
+	return 2*directsettings.Peer.ToleratedFailures + 1
+}
+
 // ControlHosts returns the peer addresses of the seeds, which use the host's own
 // peer port.
 func (directsettings *DirectSettings) ControlHosts() []netip.AddrPort {
--- a/internal/fleet/direct/caller.go
+++ b/internal/fleet/direct/caller.go
@@ -18,6 +18,10 @@
 // order if both were held up on their way.
 const settleTime = 100 * time.Millisecond
 
+// formationTime is how long after its start a host waits for further voters at the first start
+// of the fleet. It leaves a second of the four in which a change is to be acknowledged.
+const formationTime = 3 * time.Second
+
 // ErrCallerLeft is returned for an order that was not carried out because its client has
 // given it up, and may have sent it, or a later one, to another host.
 var ErrCallerLeft = Error.New("the client of the call has left")
@@ -52,6 +56,27 @@
 	return nil
 }
 
+// awaitVoters holds back an acknowledgement at the first start of the fleet until the group
+// that was formed by the seeds alone has the voters that bear the losses it has to bear. It
+// does so for formationTime at most, since there may be fewer control hosts.
+func (control *Control) awaitVoters(ctx context.Context) error {
+	host, target := control.options.Settings.Host, control.options.Settings.TargetVoters()
+	for host.FirstStart && control.node.Status().Voters() < target {
+		if control.options.Clock.Since(control.startedAt) >= formationTime {
+			control.options.Stats.Event("order", "fewVoters")
+			control.options.Log.WithField("voters", control.node.Status().Voters()).WithField("targetVoters", target).
+				Warn(logPrefix + "acknowledging a change of a group with too few voters for the losses that it has to bear")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("wait for the voters of the control group: %w", ctx.Err())
+		case <-control.options.Clock.After(tickInterval):
+		}
+	}
+	return nil
+}
+
 // order commits an order of a client. What was committed after the client had given it up
 // makes it invalid: the ticket is older than the last look for the client.
 func (control *Control) order(ctx context.Context, settle time.Duration, command state.Command) (state.Result, error) {
@@ -69,6 +94,9 @@
 			return state.Result{}, err
 		}
 		result, err := control.proposeWithTicket(ctx, ticket, command)
+		if err == nil {
+			return result, control.awaitVoters(ctx)
+		}
 		if !errors.Is(err, group.ErrStaleTicket) {
 			return result, err
 		}
--- a/internal/fleet/direct/control.go
+++ b/internal/fleet/direct/control.go
@@ -72,12 +72,14 @@
 	options Options
 	node    *group.Node
 	client  *group.Client
-	steer   *steer.Coordinator
-	lender  *steer.Lender
-	server  *server
-	metrics *server
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	// startedAt is when the host started.
+	startedAt time.Time
+	steer     *steer.Coordinator
+	lender    *steer.Lender
+	server    *server
+	metrics   *server
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 }
 
 // StartControl starts a control host. It calls handler, which returns the HTTP
@@ -91,7 +93,7 @@
 		Name: settings.Host.Name, Address: settings.Peer.Address, DataFolder: settings.Host.DataFolder,
 		Secret: secret, InitialMembers: seeds, Clock: options.Clock, Log: options.Log, SnapshotEvery: snapshotEvery,
 		Timing:       group.Timing{Election: electionTimeout, Heartbeat: heartbeatInterval, Tick: tickInterval},
-		TargetVoters: 2*settings.Peer.ToleratedFailures + 1,
+		TargetVoters: settings.TargetVoters(),
 		JoinOnly:     !settings.Host.FirstStart,
 		MessageBytes: options.memory / messageParts,
 	})
@@ -100,7 +102,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	control := &Control{
-		options: options, node: node, client: group.NewClient(seeds, secret),
+		options: options, node: node, client: group.NewClient(seeds, secret), startedAt: options.Clock.Now(),
 		steer: steer.New(node, options.Clock, options.Log), cancel: cancel,
 	}
 	control.client.SetMessageBytes(options.memory / messageParts)
@@ -254,6 +256,10 @@
 		if result, err = control.order(ctx, 0, state.PutItems{Items: trimmed}); err != nil {
 			return result, err
 		}
+	default: // all of it is committed, perhaps by a call that did not wait for its acknowledgement
+		if err = control.awaitVoters(ctx); err != nil {
+			return result, err
+		}
 	}
 	control.logChange(len(trimmed), len(changes), result)
 	if result.Outcome == state.OutcomeTooLarge {
--- a/internal/fleet/direct/leave_test.go
+++ b/internal/fleet/direct/leave_test.go
@@ -20,26 +20,52 @@
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
+const (
+	// firstStartSpread is the time within which the hosts of a fleet start.
+	firstStartSpread = 300 * time.Millisecond
+	// ackTime is the time within which an operator's change is to be acknowledged.
+	ackTime = 4 * time.Second
+)
+
 // exchangeTimeout is several times what a change of the members and an election take.
 const exchangeTimeout = 20 * time.Second
 
-// startTestGroup starts the control hosts of a group that bears a number of losses, and more
-// hosts that join it later, and returns the hosts of the group and those that joined.
-func startTestGroup(t *testing.T, losses, joining int) (voters, joined []*Control) {
+// testFleet starts control hosts that have the port in common.
+type testFleet struct {
+	seeds  []netip.AddrPort
+	port   uint16
+	losses int
+	// started is the number of hosts that were started.
+	started int
+}
+
+// newTestFleet returns a fleet that bears a number of losses and has a number of seeds.
+func newTestFleet(t *testing.T, losses, seeds int) *testFleet {
 	t.Helper()
-	port := freeAddress(t).Port() // all hosts of a fleet have the same
-	var addresses []netip.AddrPort
-	for number := range 2*losses + 1 + joining {
-		addresses = append(addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(number + 1)}), port))
+	testfleet := &testFleet{port: freeAddress(t).Port(), losses: losses}
+	for number := range seeds {
+		testfleet.seeds = append(testfleet.seeds, testfleet.address(number))
 	}
-	seeds := addresses[:2*losses+1]
-	start := func(address netip.AddrPort, first bool) *Control {
+	return testfleet
+}
+
+func (testfleet *testFleet) address(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(number + 1)}), testfleet.port)
+}
+
+// start starts the next hosts, the seeds first.
+func (testfleet *testFleet) start(t *testing.T, hosts int, first bool) []*Control {
+	t.Helper()
+	var controls []*Control
+	for range hosts {
+		address := testfleet.address(testfleet.started)
+		testfleet.started++
 		settings := conf.DirectSettings{
 			Host: conf.DirectHost{
 				Name: fmt.Sprintf("core-%s", address.Addr()), DataCentre: "here", DataFolder: t.TempDir(), FirstStart: first,
 			},
 			Listen: conf.DirectListen{Control: freeAddress(t).String()},
-			Peer:   conf.DirectPeer{Address: address, Seeds: seeds, Secret: "a secret of test hosts", ToleratedFailures: losses},
+			Peer:   conf.DirectPeer{Address: address, Seeds: testfleet.seeds, Secret: "a secret of test hosts", ToleratedFailures: testfleet.losses},
 		}
 		control, err := StartControl(Options{
 			Settings: settings, Reload: func() (conf.DirectSettings, error) { return settings, nil },
@@ -48,17 +74,21 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return control
-	}
-	for _, seed := range seeds {
-		voters = append(voters, start(seed, true))
-	}
-	awaitMembers(t, voters[0], len(seeds))
-	for _, address := range addresses[len(seeds):] {
-		joined = append(joined, start(address, false))
+		controls = append(controls, control)
 	}
+	return controls
+}
+
+// startTestGroup starts the control hosts of a group that bears a number of losses, and more
+// hosts that join it later, and returns the hosts of the group and those that joined.
+func startTestGroup(t *testing.T, losses, joining int) (voters, joined []*Control) {
+	t.Helper()
+	testfleet := newTestFleet(t, losses, 2*losses+1)
+	voters = testfleet.start(t, 2*losses+1, true)
+	awaitMembers(t, voters[0], len(voters))
+	joined = testfleet.start(t, joining, false)
 	for _, control := range voters {
-		awaitMembers(t, control, len(seeds)+joining)
+		awaitMembers(t, control, len(voters)+joining)
 	}
 	return voters, joined
 }
@@ -140,6 +170,51 @@
 	}
 }
 
+// TestLossesAfterFirstAcknowledgement guards against a configuration that is acknowledged by the
+// seeds alone at the first start of a fleet, and lost with two of them.
+func TestLossesAfterFirstAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	testfleet := newTestFleet(t, 2, 3)
+	controls := testfleet.start(t, 3, true)
+	ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
+	defer cancel()
+	acknowledged := make(chan error, 1)
+	go func() {
+		_, err := controls[0].PutItems(ctx, wholeConfiguration(1, 1, -1))
+		acknowledged <- err
+	}()
+	time.Sleep(firstStartSpread)
+	controls = append(controls, testfleet.start(t, 2, true)...)
+	is.NoErr(<-acknowledged)
+	for _, control := range controls[:2] {
+		control.Kill()
+	}
+	for _, control := range controls[2:] {
+		defer control.Kill()
+	}
+	awaitLeader(ctx, controls[2:])
+	inForce, err := controls[2].Items(ctx)
+	is.NoErr(err)
+	is.Equal(len(inForce), 2)
+}
+
+// TestSmallFleetStarts guards against a fleet that never acknowledges a change, since it has
+// fewer control hosts than the losses that it is to bear ask for.
+func TestSmallFleetStarts(t *testing.T) {
+	is := is.New(t)
+	controls := newTestFleet(t, 2, 3).start(t, 3, true)
+	for _, control := range controls {
+		defer control.Kill()
+	}
+	for number := range uint64(2) { // the second change does not wait
+		_, err := controls[0].PutItems(t.Context(), wholeConfiguration(1, number+1, -1))
+		is.NoErr(err)
+		is.True(time.Since(controls[0].startedAt) >= formationTime)
+		is.True(time.Since(controls[0].startedAt) < ackTime)
+	}
+	is.Equal(controls[0].options.Stats.EventCount("order", "fewVoters"), uint64(2))
+}
+
 // TestStopWithoutLearner guards against control hosts that wait at their stop though no learner
 // can take their place, also when all of them stop at once.
 func TestStopWithoutLearner(t *testing.T) {
