Take no answer with a status outside 100 to 599

What callers saw: an upstream that answered with status 000 or 099 held their request until its deadline, then they got 504, on safe routes as well; 600 and 999 were passed on with the upstream's signature, and believed when their head said "not run". On our own path all four were answers that went into the ledger, and a status below 100 panicked in the entry host's writer.

Cause: the pool took all statuses below 200 for interim responses and all others for answers; the transport of our own path returns any.

Change: base/codes says which statuses are final, and both paths use it. A response with another is garbled, at once: 502 without a signature, or another upstream's answer where the request may run again. Nothing in its head is believed, its connection is closed, and it counts against the upstream.

--- a/internal/dispatch/calls/calls.go
+++ b/internal/dispatch/calls/calls.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"damaskcrank.example/damaskcrank/internal/base/codec"
+	"damaskcrank.example/damaskcrank/internal/base/codes"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/peer/links"
 )
@@ -234,6 +235,9 @@
 		if err := codec.Unmarshal(payload.Head, &head); err != nil {
 			return nil, Error.New("decode answer: %w", err)
 		}
+		if !codes.IsFinal(head.Status) { // hosts of earlier versions pass those on
+			return Refusal{Reason: ReasonAnswerUnframed, Ran: RanYes, Detail: "the request ran, but its answer has no valid status"}, nil
+		}
 		answer := state.Answer{Status: head.Status, Header: head.Header, Body: payload.Body}
 		return Response{Answer: answer, Replayed: head.Replayed, Upstream: head.Upstream}, nil
 	case KindRefusal:
--- a/internal/dispatch/calls/calls_test.go
+++ b/internal/dispatch/calls/calls_test.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// TestStatusOutOfRange guards against a host that can't answer its caller, since another host, of
+// an earlier version, passes on an answer whose status is none of HTTP.
+func TestStatusOutOfRange(t *testing.T) {
+	for _, status := range []int{0, 99, 100, 199, 600, 999} {
+		is := is.New(t)
+		payload, err := EncodeOutcome(Response{Answer: state.Answer{Status: status}})
+		is.NoErr(err)
+		outcome, err := DecodeOutcome(payload)
+		is.NoErr(err)
+		refusal, ok := outcome.(Refusal)
+		is.True(ok)
+		is.Equal(refusal.Ran, RanYes)
+	}
+}
+
 // TestEmptyRefusal checks that an empty refusal is not decoded, such as the response
 // of a host that could not read the request.
 func TestEmptyRefusal(t *testing.T) {
--- a/internal/dispatch/detour/detour.go
+++ b/internal/dispatch/detour/detour.go
@@ -18,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 
+	"damaskcrank.example/damaskcrank/internal/base/codes"
 	"damaskcrank.example/damaskcrank/internal/base/stats"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
@@ -350,6 +351,9 @@
 	switch reply.Outcome {
 	case forwardAnswered:
 		response := reply.response()
+		if !codes.IsFinal(response.Status) { // hosts of earlier versions pass those on
+			return sender.taken(Outcome{Helper: other.Name, Failure: pool.BadStatus(response.Body.Len()), AtFault: true})
+		}
 		sender.recordNotice(target, response)
 		return sender.taken(Outcome{Helper: other.Name, Response: response})
 	case forwardFailed:
--- a/internal/dispatch/detour/detour_test.go
+++ b/internal/dispatch/detour/detour_test.go
@@ -463,6 +463,27 @@
 	is.True(got.Failure.MayHaveRun())
 }
 
+// TestForwardedStatusOutOfRange guards against answers with a status that is none of HTTP, which
+// another host, of an earlier version, passes on.
+func TestForwardedStatusOutOfRange(t *testing.T) {
+	for _, status := range []int{0, 99, 100, 199, 600, 999} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			fleet := newFleet(t, 2)
+			fleet.hosts[0].cut.Store(true)
+			reply := forwardReply{Outcome: forwardAnswered, Status: status, Header: http.Header{"Signature": {"s"}}}
+			payload, err := reply.payload()
+			is.NoErr(err)
+			fleet.hosts[0].Caller = fixedCaller{reply: payload}
+			got := fleet.send(t.Context())
+			is.Equal(got.Response, nil)
+			is.Equal(got.Failure.Reason, pool.ReasonBadStatus)
+			is.True(got.Failure.MayHaveRun())
+			is.True(got.AtFault)
+		})
+	}
+}
+
 // fixedCaller gives the same reply to each request.
 type fixedCaller struct{ reply links.Payload }
 
--- a/internal/dispatch/pool/body.go
+++ b/internal/dispatch/pool/body.go
@@ -25,6 +25,7 @@
 
 var (
 	errBodyTooLong  = Error.New("the response is longer than %d bytes", maxResponseBytes)
+	errBadStatus    = Error.New("the status of the response is not within 100 to 599")
 	errOtherRequest = Error.New("the response belongs to another request")
 )
 
--- a/internal/dispatch/pool/pool.go
+++ b/internal/dispatch/pool/pool.go
@@ -25,6 +25,7 @@
 
 	"damaskcrank.example/damaskcrank/internal/base/budget"
 	"damaskcrank.example/damaskcrank/internal/base/bulk"
+	"damaskcrank.example/damaskcrank/internal/base/codes"
 	"damaskcrank.example/damaskcrank/internal/base/pacer"
 	"damaskcrank.example/damaskcrank/internal/base/sock"
 )
@@ -105,6 +106,8 @@
 	ReasonBuffersFull Reason = "buffersFull"
 	// ReasonOtherRequest means that the response belongs to another request.
 	ReasonOtherRequest Reason = "otherRequest"
+	// ReasonBadStatus means that the status is below 100 or above 599.
+	ReasonBadStatus Reason = "badStatus"
 	// ReasonMalformed means that the response is not one of HTTP/1.
 	ReasonMalformed Reason = "malformed"
 	// ReasonUnfinished means that the context ended within the response.
@@ -129,6 +132,11 @@
 	return string(senderror.Failure) + ": " + senderror.Cause.Error()
 }
 
+// BadStatus returns the failure of a response whose status is not that of a final response.
+func BadStatus(received int) *SendError {
+	return &SendError{Failure: FailureGarbled, Reason: ReasonBadStatus, Received: received, Cause: errBadStatus}
+}
+
 // Unwrap returns the cause.
 func (senderror *SendError) Unwrap() error { return senderror.Cause }
 
@@ -453,6 +461,8 @@
 		return ReasonBuffersFull
 	case errors.Is(err, errOtherRequest):
 		return ReasonOtherRequest
+	case errors.Is(err, errBadStatus):
+		return ReasonBadStatus
 	default:
 		return ReasonMalformed
 	}
@@ -502,8 +512,10 @@
 		switch {
 		case received.StatusCode == http.StatusSwitchingProtocols:
 			return nil, Error.New("the upstream switched protocols without being asked to")
-		case received.StatusCode >= http.StatusOK:
+		case codes.IsFinal(received.StatusCode):
 			return received, nil
+		case !codes.IsInterim(received.StatusCode):
+			return nil, errBadStatus
 		}
 	}
 }
--- a/internal/dispatch/shard/attempt.go
+++ b/internal/dispatch/shard/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"damaskcrank.example/damaskcrank/internal/base/codes"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 	"damaskcrank.example/damaskcrank/internal/dispatch/calls"
 	"damaskcrank.example/damaskcrank/internal/dispatch/upstr"
@@ -156,6 +157,9 @@
 			Detail: "the request ran, but its answer was not stored",
 		}
 	}
+	if !codes.IsFinal(answer.Status) { // stored by a host of an earlier version
+		return calls.Refusal{Reason: calls.ReasonAnswerUnframed, Ran: calls.RanYes, Detail: "the request ran, but its answer has no valid status"}
+	}
 	return calls.Response{Answer: answer, Replayed: true}
 }
 
--- a/internal/dispatch/shard/finish.go
+++ b/internal/dispatch/shard/finish.go
@@ -135,7 +135,7 @@
 	switch cause {
 	case upstr.CauseTooLarge:
 		return calls.ReasonAnswerTooLarge
-	case upstr.CauseUnframed:
+	case upstr.CauseUnframed, upstr.CauseStatus: // hosts of earlier versions know no reason for the latter
 		return calls.ReasonAnswerUnframed
 	default:
 		return calls.ReasonAnswerCut
--- a/internal/dispatch/upstr/client.go
+++ b/internal/dispatch/upstr/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"damaskcrank.example/damaskcrank/internal/base/bulk"
+	"damaskcrank.example/damaskcrank/internal/base/codes"
 	"damaskcrank.example/damaskcrank/internal/control/state"
 )
 
@@ -216,6 +217,9 @@
 }
 
 func readResponse(ctx context.Context, response *http.Response, limit int, held *bulk.Body) Result {
+	if response.StatusCode != http.StatusSwitchingProtocols && !codes.IsFinal(response.StatusCode) {
+		return BadResponse{Cause: CauseStatus, Err: Error.New("the status of the answer is not within 100 to 599: %s", shorten(response.Status))}
+	}
 	if refused, ok := parseRefusal(response); ok {
 		return refused
 	}
--- a/internal/dispatch/upstr/upstr.go
+++ b/internal/dispatch/upstr/upstr.go
@@ -205,6 +205,8 @@
 	// CauseUnframed means that the end of the response cannot be distinguished from a
 	// lost connection, since it has neither a length nor chunked encoding.
 	CauseUnframed
+	// CauseStatus means that the status is not that of a final response.
+	CauseStatus
 )
 
 func (Response) result()    {}
