Move tests of permits that race with their clock into synctest

Cause: their loops moved the fake clock by 1 ms with no more than a yield in between. While a goroutine waited for a processor, seconds passed on that clock, so that permits expired; or a goroutine began to sleep after the clock had moved, and nothing moved it any more.

Change: the tests run in synctest bubbles, in which the clock moves only once all goroutines wait for it. Bounds and checks are the same. awaitRelease fails in place of hanging.

--- a/internal/dispatch/permit/limit_test.go
+++ b/internal/dispatch/permit/limit_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net/netip"
-	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -100,14 +100,12 @@
 	if permit.ticket != nil || remote && silent {
 		return
 	}
-	for {
-		primary.mutex.Lock()
-		_, held := primary.leases[permit.number]
-		primary.mutex.Unlock()
-		if !held {
-			return
-		}
-		runtime.Gosched()
+	synctest.Wait() // the releases wait for the clock, or have been sent
+	primary.mutex.Lock()
+	_, held := primary.leases[permit.number]
+	primary.mutex.Unlock()
+	if held {
+		limitedfleet.t.Fatal("a release has not reached its primary")
 	}
 }
 
@@ -165,7 +163,7 @@
 		}},
 	}
 	for _, testcase := range cases {
-		t.Run(testcase.name, func(t *testing.T) {
+		inBubble(t, testcase.name, func(t *testing.T) {
 			fleet := &limitedFleet{t: t, fleet: newFleet(t, 6), limit: testcase.limit}
 			for number := range 600 {
 				if testcase.step != nil {
@@ -173,9 +171,10 @@
 				}
 				fleet.answer()
 				fleet.request(number % len(fleet.clients))
-				fleet.clock.Advance(limitStep)
+				fleet.advance(limitStep)
 			}
 			fleet.checkLimit(testcase.limit)
+			fleet.settle()
 		})
 	}
 }
--- a/internal/dispatch/permit/permit_test.go
+++ b/internal/dispatch/permit/permit_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"runtime"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -138,19 +138,29 @@
 	return 0
 }
 
+// advance moves the clock once all goroutines wait for it, and returns when they wait again.
+// It is for tests in a synctest bubble.
+func (fleet *fleet) advance(duration time.Duration) {
+	synctest.Wait()
+	fleet.clock.Advance(duration)
+	synctest.Wait()
+}
+
 // awaitReleases advances the clock until all released permits have reached their primaries,
 // as releases are sent in batches.
 func (fleet *fleet) awaitReleases() {
 	for _, client := range fleet.clients {
-		for {
-			client.localPrimary.mutex.Lock()
-			held := len(client.localPrimary.leases)
-			client.localPrimary.mutex.Unlock()
-			if held == 0 {
-				break
-			}
-			fleet.clock.Advance(time.Millisecond)
-			runtime.Gosched()
+		for client.localPrimary.held() > 0 {
+			fleet.advance(time.Millisecond)
+		}
+	}
+}
+
+// settle advances the clock until no host has releases to send, so that no goroutine is left.
+func (fleet *fleet) settle() {
+	for _, client := range fleet.clients {
+		for client.releasing() > 0 {
+			fleet.advance(batchInterval)
 		}
 	}
 }
--- a/internal/dispatch/permit/release_test.go
+++ b/internal/dispatch/permit/release_test.go
@@ -1,8 +1,8 @@
 package permit
 
 import (
-	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -10,6 +10,12 @@
 	"damaskcrank.example/damaskcrank/internal/dispatch/admit"
 )
 
+// inBubble runs a case of a test in a synctest bubble.
+func inBubble(t *testing.T, name string, run func(*testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { synctest.Test(t, run) })
+}
+
 // held returns the number of permits that a primary has granted or queued.
 func (primary *Primary) held() int {
 	primary.mutex.Lock()
@@ -17,6 +23,13 @@
 	return len(primary.leases)
 }
 
+// releasing returns the number of primaries for which the host has releases.
+func (client *Client) releasing() int {
+	client.releases.mutex.Lock()
+	defer client.releases.mutex.Unlock()
+	return len(client.releases.queues)
+}
+
 // TestLostReleaseIsRepeated guards against slots that stay occupied until after the deadline
 // because the message that releases them was lost, and against releases that are kept for
 // permits that have expired.
@@ -30,7 +43,7 @@
 		{"the primary is lost until the permits have expired", 3 * time.Second, 3},
 	}
 	for _, testcase := range cases {
-		t.Run(testcase.name, func(t *testing.T) {
+		inBubble(t, testcase.name, func(t *testing.T) {
 			is := is.New(t)
 			fleet := newFleet(t, 2)
 			number := fleet.primaryOf(t)
@@ -51,16 +64,9 @@
 				permit.Release(admit.ResultAnswered, nil)
 			}
 			lostAt := fleet.clock.Now()
-			for { // until the releases have been acknowledged or dropped
+			for client.releasing() > 0 { // until they have been acknowledged or dropped
 				setSilent(fleet.clock.Now().Sub(lostAt) < testcase.silentFor)
-				fleet.clock.Advance(time.Millisecond)
-				runtime.Gosched()
-				client.releases.mutex.Lock()
-				waiting := len(client.releases.queues)
-				client.releases.mutex.Unlock()
-				if waiting == 0 {
-					break
-				}
+				fleet.advance(time.Millisecond)
 			}
 			is.Equal(primary.held(), testcase.held)
 		})
@@ -69,7 +75,9 @@
 
 // TestFormerPrimary guards against hosts that get no permits from a primary of the previous
 // version, or whose releases it does not understand.
-func TestFormerPrimary(t *testing.T) {
+func TestFormerPrimary(t *testing.T) { synctest.Test(t, testFormerPrimary) }
+
+func testFormerPrimary(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(t, 2)
 	number := fleet.primaryOf(t)
@@ -82,6 +90,7 @@
 		fleet.awaitReleases()
 	}
 	is.Equal(fleet.network.unknown, 1) // it is not asked in vain again
+	fleet.settle()
 }
 
 // TestLatePrimaryIsAskedLess guards against a link that stays congested because its host is
--- a/internal/dispatch/permit/rest_test.go
+++ b/internal/dispatch/permit/rest_test.go
@@ -1,8 +1,8 @@
 package permit
 
 import (
-	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -13,7 +13,9 @@
 
 // TestRequestWaitsForEndOfRest guards against refusing a request whose upstream takes
 // requests from the host again in time.
-func TestRequestWaitsForEndOfRest(t *testing.T) {
+func TestRequestWaitsForEndOfRest(t *testing.T) { synctest.Test(t, testRequestWaitsForEndOfRest) }
+
+func testRequestWaitsForEndOfRest(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(t, 3)
 	client := fleet.clients[(fleet.primaryOf(t)+1)%3]
@@ -25,7 +27,8 @@
 		permit, _ := client.Acquire(t.Context(), job)
 		permits <- permit
 	}()
-	for { // the request may begin to wait only after the clock has advanced
+	for {
+		synctest.Wait()
 		resting := client.local.RestLeft(serviceName, fleet.target.Owner) > 0
 		select {
 		case permit := <-permits:
@@ -35,7 +38,6 @@
 		default:
 		}
 		fleet.clock.Advance(10 * time.Millisecond)
-		runtime.Gosched()
 	}
 }
 
@@ -63,6 +65,10 @@
 // TestRequestsWithoutKeyAvoidRestingUpstreams guards against requests without a key that
 // are sent to an upstream that wants none from the host, by a primary that does not know.
 func TestRequestsWithoutKeyAvoidRestingUpstreams(t *testing.T) {
+	synctest.Test(t, testRequestsWithoutKeyAvoidRestingUpstreams)
+}
+
+func testRequestsWithoutKeyAvoidRestingUpstreams(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(t, 3)
 	first, second := fleet.target, fleet.target
@@ -87,11 +93,12 @@
 	is.Equal(refusal.Reason, admit.ReasonResting)
 	is.True(refusal.RetryAfter >= 2*time.Second)
 	is.True(refusal.RetryAfter < 3*time.Second)
-	fleet.clock.Advance(2 * time.Second)
+	fleet.advance(2 * time.Second)
 	job = fleet.newJob()
 	job.Keyed = false
 	permit, _ := client.Acquire(t.Context(), job)
 	is.Equal(permit.Target.Owner, second.Owner)
+	fleet.settle()
 }
 
 // TestPrimaryThatHasNotHeardOfLeavingUpstream guards against primaries that are suspected,
