--- a/internal/control/group/leave_test.go
+++ b/internal/control/group/leave_test.go
@@ -19,13 +19,13 @@
 type formerControl struct{ control Control }
 
 // Deliver receives consensus messages.
-func (former *formerControl) Deliver(args DeliverArgs, reply *DeliverReply) error {
-	return former.control.Deliver(args, reply)
+func (formercontrol *formerControl) Deliver(args DeliverArgs, reply *DeliverReply) error {
+	return formercontrol.control.Deliver(args, reply)
 }
 
 // Join records a join request.
-func (former *formerControl) Join(args JoinArgs, reply *JoinReply) error {
-	return former.control.Join(args, reply)
+func (formercontrol *formerControl) Join(args JoinArgs, reply *JoinReply) error {
+	return formercontrol.control.Join(args, reply)
 }
 
 // startJoining starts a group of one and a host that joins it as a learner.
--- a/internal/fleet/direct/leave_test.go
+++ b/internal/fleet/direct/leave_test.go
@@ -96,7 +96,7 @@
 // awaitMembers waits until a host knows of a number of members, all of which hold the log.
 func awaitMembers(t *testing.T, control *Control, members int) {
 	t.Helper()
-	for deadline := time.Now().Add(longTimeout); time.Now().Before(deadline); time.Sleep(tickInterval) {
+	for deadline := time.Now().Add(longTimeout); time.Now().Before(deadline); <-time.After(tickInterval) {
 		status, err := control.client.LeaderStatus(t.Context())
 		caughtUp := err == nil && !slices.ContainsFunc(status.Members, func(member group.MemberStatus) bool { return member.Match < status.Commit })
 		if caughtUp && len(status.Members) == members && len(control.node.Status().Members) == members {
@@ -114,7 +114,7 @@
 				return control
 			}
 		}
-		time.Sleep(tickInterval)
+		<-time.After(tickInterval)
 	}
 	return controls[0]
 }
@@ -183,7 +183,7 @@
 		_, err := controls[0].PutItems(ctx, wholeConfiguration(1, 1, -1))
 		acknowledged <- err
 	}()
-	time.Sleep(firstStartSpread)
+	<-time.After(firstStartSpread)
 	controls = append(controls, testfleet.start(t, 2, true)...)
 	is.NoErr(<-acknowledged)
 	for _, control := range controls[:2] {
