Report a stopping control host as replaced only if it was

What operators saw: nothing yet. A host that waited while another one got the last learner was logged and counted as replaced, too, by reading.

Change: the leader's reply says whether the host is still a voter.

Result: TestLossesAfterPlannedStops checks the counter of each host that stops, and passes.

--- a/internal/control/group/leave.go
+++ b/internal/control/group/leave.go
@@ -21,11 +21,13 @@
 type LeaveArgs struct{ Member raft.MemberID }
 
 // LeaveReply reports whether the member should wait and ask again, since a learner is
-// taking its place. Leader is the address of the leader that the replying member knows of.
+// taking its place, and whether it is still a voter. Leader is the address of the leader that
+// the replying member knows of.
 type LeaveReply struct {
 	NotLeader bool
 	Leader    string
 	Pending   bool
+	Voter     bool
 }
 
 type leaveRequest struct {
@@ -153,7 +155,7 @@
 	node.membership.recordLeaver(id, now)
 	view := node.membershipView(now)
 	uncommitted := node.core.CommittedMembers().IsVoter(id) && !view.members.IsVoter(id)
-	reply := LeaveReply{Pending: uncommitted || view.exchangePending(id)}
+	reply := LeaveReply{Pending: uncommitted || view.exchangePending(id), Voter: view.members.IsVoter(id)}
 	exchanged := len(node.core.CommittedMembers().Voters) > node.options.TargetVoters
 	if id == node.id && exchanged && !node.core.Transferring() && node.transfer(work) {
 		node.options.Log.Info(logPrefix + "handing leadership over to be removed from the group")
@@ -169,12 +171,11 @@
 	if !node.mayExchange() {
 		return false, nil
 	}
-	for {
+	for waited := false; ; waited = true {
 		reply, err := node.requestLeave(ctx, client)
 		if err != nil || !reply.Pending {
-			return replaced && err == nil, err
+			return waited && !reply.Voter && err == nil, err
 		}
-		replaced = true
 		select {
 		case <-ctx.Done():
 			return false, Error.New("wait for a learner to take this member's place: %w", ctx.Err())
--- a/internal/fleet/direct/leave_test.go
+++ b/internal/fleet/direct/leave_test.go
@@ -155,6 +155,9 @@
 			for range testcase.stopping {
 				is.NoErr(<-stopped)
 			}
+			for _, control := range voters[:testcase.stopping] {
+				is.Equal(control.options.Stats.EventCount("leave", "replaced"), uint64(1))
+			}
 			rest := slices.Concat(joined, voters[testcase.stopping:])
 			for _, control := range rest[len(rest)-testcase.losses:] {
 				control.Kill()
