Tell control hosts the members that joined after them

What operators saw: a control host that joined answered no change once all control hosts that it had been told of were gone, though the group had a leader.

Cause: its client knew the seeds and the members at the time of its join. Only replies of a known host name others.

Change: the client is told the members that the host knows from the log.

--- a/internal/control/group/membership.go
+++ b/internal/control/group/membership.go
@@ -245,7 +245,9 @@
 }
 
 // Join asks the control hosts to add the node to their group whenever it knows
-// no leader, until the context ends or the node is about to stop.
+// no leader, until the context ends or the node is about to stop. It tells the
+// client the members that the node knows, which may replace all that the client
+// was given.
 func (node *Node) Join(ctx context.Context, client *Client) {
 	self := raft.Member{ID: node.id, Address: node.options.Address}
 	for {
@@ -256,7 +258,9 @@
 			return
 		case <-node.options.Clock.After(joinInterval):
 		}
-		if node.Status().Leader == "" && !node.leaving.Load() {
+		status := node.Status()
+		client.AddHosts(status.addresses())
+		if status.Leader == "" && !node.leaving.Load() {
 			client.join(self)
 		}
 	}
--- a/internal/control/group/message.go
+++ b/internal/control/group/message.go
@@ -146,6 +146,17 @@
 	LeaderSince time.Time
 }
 
+// addresses returns the addresses of the members.
+func (status Status) addresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, member := range status.Members {
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // Voters returns the number of voters.
 func (status Status) Voters() int {
 	voters := 0
--- a/internal/fleet/direct/leave_test.go
+++ b/internal/fleet/direct/leave_test.go
@@ -106,17 +106,14 @@
 	t.Fatalf("the group does not have %d members", members)
 }
 
-// awaitLeader returns the host that leads, or the first one once the context has ended.
-func awaitLeader(ctx context.Context, controls []*Control) *Control {
+// awaitLeader waits until one of the hosts leads, or the context ends.
+func awaitLeader(ctx context.Context, controls []*Control) {
 	for ctx.Err() == nil {
-		for _, control := range controls {
-			if control.node.HoldsLease() {
-				return control
-			}
+		if slices.ContainsFunc(controls, func(control *Control) bool { return control.node.HoldsLease() }) {
+			return
 		}
 		<-time.After(tickInterval)
 	}
-	return controls[0]
 }
 
 // TestLossesAfterPlannedStops guards against a group that loses everything when, right after
@@ -168,7 +165,10 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
 			defer cancel()
-			is.NoErr(awaitLeader(ctx, rest).propose(ctx, state.EvacuateDataCentre{Name: "there", Evacuated: true}))
+			awaitLeader(ctx, rest)
+			for _, control := range rest { // those that do not lead have to know the leader
+				is.NoErr(control.propose(ctx, state.EvacuateDataCentre{Name: "there", Evacuated: true}))
+			}
 		})
 	}
 }
